--- /dev/null
+++ b/internal/node/notices_test.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A backlog of notices, as after a long outage of the platform, goes out whole in bodies that the protocol
+// allows, and each is settled once.
+func TestBacklogOfNoticesKeepsToTheBodyLimit(t *testing.T) {
+	const count = 100
+	sizes := make(chan int, count)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		sizes <- len(body)
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer srv.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+
+	var batch []notice
+	for range count {
+		batch = append(batch, newNotice(&past{id: strings.Repeat("<", 256), ended: &ending{after: time.Second}}))
+	}
+	notices := make(chan []notice, 1)
+	notices <- batch
+	settled := 0
+	report(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), notices, func(done []notice) {
+		if settled += len(done); settled >= count {
+			cancel()
+		}
+	})
+	if settled != count {
+		t.Errorf("%d of %d notices settled", settled, count)
+	}
+	close(sizes)
+	for n := range sizes {
+		if n > maxBody {
+			t.Errorf("a body of %d bytes", n)
+		}
+	}
+}
