Hang up on silent and slow clients, and evict the longest idle when full

Client connections had no deadline between requests, and half of the descriptors as places. Newcomers waited in the backlog past their 400 ms. Now a connection without a request is closed after 2.2 s, a request has 1 s from its first byte to its last, a third of the descriptors are places, and a newcomer gets the place of the connection that has been idle for longest.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -25,7 +25,11 @@
 	maxSkipped = 1 << 20 // of a body that is too large, so that the connection stays of use
 	maxLife    = 24 * time.Hour
 
-	requestTimeout = 5 * time.Second        // from a request's first byte to its last, and to write an answer
+	// A peer may fall silent for good, and each place it holds is lost to the others. Clients write a request
+	// at once and wait 400 ms for its answer; the platform lets a connection without a request go after 2 s,
+	// and wants to see an answer or a close 3 s after it came.
+	idleTimeout    = 2200 * time.Millisecond
+	requestTimeout = time.Second            // from a request's first byte to its last, and to write an answer
 	closeGrace     = 500 * time.Millisecond // for requests that are half read when the node leaves
 	lingerTimeout  = 300 * time.Millisecond // in which a client may read why it is being hung up on
 )
@@ -203,35 +207,51 @@
 	hand    func(request) answer
 
 	mu     sync.Mutex
-	idle   map[net.Conn]bool // open connections; true between requests
+	open   map[net.Conn]*peer
 	closed bool
 	wg     sync.WaitGroup
 }
 
+// peer is where an open connection stands.
+type peer struct {
+	idle    bool      // between requests, since then
+	since   time.Time // of its last answer, or when it came
+	evicted bool      // its place is wanted: it ends when its request, if it has one, is answered
+}
+
 func newClients(ln net.Listener, most int, classes []string, hand func(request) answer) *clients {
 	return &clients{
 		ln: ln, room: make(chan struct{}, max(most, 1)), stop: make(chan struct{}), served: make(chan struct{}),
-		classes: classes, hand: hand, idle: map[net.Conn]bool{},
+		classes: classes, hand: hand, open: map[net.Conn]*peer{},
 	}
 }
 
-// serve accepts connections until the listener is closed. With all places taken the next waits in the backlog.
+// serve accepts connections until the listener is closed. With all places taken, a newcomer gets that of the
+// connection which has stood longest between requests.
 func (c *clients) serve(ctx context.Context) {
 	defer close(c.served)
 	for {
-		select {
-		case c.room <- struct{}{}:
-		case <-c.stop:
-			return
-		}
 		nc, err := c.ln.Accept()
 		if err != nil {
-			<-c.room
 			if errors.Is(err, net.ErrClosed) || !sleep(ctx, firstBackoff) { // out of descriptors, most likely
 				return
 			}
 			continue
 		}
+		select {
+		case c.room <- struct{}{}:
+		default:
+			c.evict()
+			select {
+			case c.room <- struct{}{}:
+			case <-c.stop:
+				nc.Close()
+				return
+			}
+		}
+		c.mu.Lock()
+		c.open[nc] = &peer{idle: true, since: time.Now()}
+		c.mu.Unlock()
 		c.wg.Go(func() {
 			defer func() { <-c.room }()
 			c.serveConn(nc)
@@ -239,35 +259,57 @@
 	}
 }
 
+// evict calls back the connection that has stood longest between requests, if there is one.
+func (c *clients) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var victim net.Conn
+	for nc, p := range c.open {
+		if p.idle && !p.evicted && (victim == nil || p.since.Before(c.open[victim].since)) {
+			victim = nc
+		}
+	}
+	if victim != nil {
+		c.open[victim].evicted = true
+		callBack(victim)
+	}
+}
+
+// callBack ends a connection's wait for a request. It is not closed from here: a request that has just been
+// read must have its answer.
+func callBack(nc net.Conn) { nc.SetReadDeadline(time.Unix(1, 0)) }
+
 // mark notes whether a connection stands between requests, and tells whether it may go on.
-func (c *clients) mark(nc net.Conn, idle bool) bool {
+func (c *clients) mark(nc net.Conn, idle bool, since time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed && idle {
+	p := c.open[nc]
+	if idle && (c.closed || p.evicted) {
 		return false
 	}
-	c.idle[nc] = idle
+	p.idle, p.since = idle, since
 	return true
 }
 
 func (c *clients) serveConn(nc net.Conn) {
 	defer func() {
 		c.mu.Lock()
-		delete(c.idle, nc)
+		delete(c.open, nc)
 		c.mu.Unlock()
 		nc.Close()
 	}()
 	r := bufio.NewReaderSize(nc, 4096)
+	since := time.Now()
 	for {
-		// In this order: close calls idle connections back by their deadline.
-		if nc.SetDeadline(time.Time{}) != nil || (r.Buffered() == 0 && !c.mark(nc, true)) {
+		// In this order: idle connections are called back by their deadline.
+		if nc.SetDeadline(since.Add(idleTimeout)) != nil || (r.Buffered() == 0 && !c.mark(nc, true, since)) {
 			return
 		}
 		if _, err := r.Peek(1); err != nil {
 			return
 		}
 		came := time.Now()
-		c.mark(nc, false)
+		c.mark(nc, false, since)
 		if nc.SetDeadline(came.Add(requestTimeout)) != nil {
 			return
 		}
@@ -275,7 +317,7 @@
 		var line string
 		switch {
 		case err == nil && len(args) == 0:
-			continue
+			continue // no request: the connection is as idle as before
 		case err == nil:
 			line = c.command(args, came)
 		case errors.Is(err, errTooLarge):
@@ -294,6 +336,7 @@
 		if _, err := io.WriteString(nc, line); err != nil {
 			return
 		}
+		since = time.Now()
 	}
 }
 
@@ -328,17 +371,16 @@
 	<-c.served
 	c.mu.Lock()
 	c.closed = true
-	for nc, idle := range c.idle {
-		if idle {
-			// Not closed from here: a request that has just been read must have its answer.
-			nc.SetReadDeadline(time.Unix(1, 0))
+	for nc, p := range c.open {
+		if p.idle {
+			callBack(nc)
 		}
 	}
 	c.mu.Unlock()
 	slow := time.AfterFunc(closeGrace, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		for nc := range c.idle {
+		for nc := range c.open {
 			nc.Close()
 		}
 	})
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -181,23 +183,69 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(requestTimeout - time.Second):
+	case <-time.After(requestTimeout - 200*time.Millisecond):
 		t.Error("the node waits for the rest of a request")
 	}
 }
 
-// Descriptors are bounded: a connection beyond the places waits, and is served when one is free.
+// Descriptors are bounded, and whoever holds a place without a request yields it to a newcomer.
 func TestConnectionsAreCapped(t *testing.T) {
-	_, addr := serveTest(t, 1, func(request) answer { return answer{} })
-	first, firstReader := dialTest(t, addr)
-	io.WriteString(first, resp("PING"))
-	if _, err := firstReader.ReadString('\n'); err != nil {
-		t.Fatal(err)
+	c, addr := serveTest(t, 2, func(request) answer { return answer{} })
+	for range 5 { // silent, but open
+		nc, br := dialTest(t, addr)
+		io.WriteString(nc, resp("PING"))
+		if line, err := br.ReadString('\n'); line != "+PONG\r\n" {
+			t.Fatalf("got %q, %v", line, err)
+		}
+		c.mu.Lock()
+		open := len(c.open)
+		c.mu.Unlock()
+		if open > 2 {
+			t.Errorf("%d connections are open", open)
+		}
 	}
-	second, secondReader := dialTest(t, addr)
-	io.WriteString(second, resp("PING"))
-	first.Close()
-	if line, err := secondReader.ReadString('\n'); line != "+PONG\r\n" {
-		t.Errorf("got %q, %v", line, err)
+}
+
+// A peer that has no proper request must not hold its place for more than the platform's 3 s.
+func TestPeersWithoutARequestAreHungUpOn(t *testing.T) {
+	for name, act := range map[string]func(net.Conn){
+		"silent":      func(net.Conn) {},
+		"empty lines": func(nc net.Conn) { drip(nc, strings.Repeat("\r\n", 100), 500*time.Millisecond) },
+		"slow":        func(nc net.Conn) { drip(nc, enqueue("a", "c=notice,d=8000,dest=7", "b"), 100*time.Millisecond) },
+		"not reading": func(nc net.Conn) { io.WriteString(nc, resp("PING")) },
+		"silent after a request": func(nc net.Conn) {
+			io.WriteString(nc, resp("PING"))
+			bufio.NewReader(nc).ReadString('\n')
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newClients(nil, 1, []string{"notice"}, func(q request) answer {
+					t.Errorf("%q was handed in", q.id)
+					return answer{}
+				})
+				near, far := net.Pipe()
+				c.open[near] = &peer{idle: true, since: time.Now()}
+				began := time.Now()
+				var acting sync.WaitGroup
+				acting.Go(func() { act(far) })
+				c.serveConn(near)
+				if took := time.Since(began); took > 2900*time.Millisecond {
+					t.Errorf("closed after %s", took)
+				}
+				far.Close()
+				acting.Wait()
+			})
+		})
+	}
+}
+
+// drip writes text a byte at a time until it is hung up on.
+func drip(nc net.Conn, text string, pause time.Duration) {
+	for _, b := range []byte(text) {
+		if _, err := nc.Write([]byte{b}); err != nil {
+			return
+		}
+		time.Sleep(pause)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,7 +124,7 @@
 	parts.Go(func() {
 		report(life, n.log, n.client, n.cfg.Discovery, n.notices, func(b []notice) { n.tell(life, settled(b)) })
 	})
-	clients := newClients(ln, n.cfg.Limits.Sockets/2, n.cfg.Names.Classes, func(q request) answer { return n.hand(life, q) })
+	clients := newClients(ln, n.cfg.Limits.Sockets/3, n.cfg.Names.Classes, func(q request) answer { return n.hand(life, q) })
 	parts.Go(func() { clients.serve(life) })
 	gone := make(chan struct{})
 	parts.Go(func() {
