Take a reset on a reused connection as lost, not as a failing endpoint

The node now says that the connection was reused, and the module takes a reset that came before any answer could as no sign of the endpoint.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -400,7 +400,10 @@
 	if m.over {
 		return // ended meanwhile; its turn and its key had to hear of the outcome all the same
 	}
-	s.sample(m, c, e.Outcome)
+	stray := s.stray(c, e)
+	if !stray {
+		s.sample(m, c, e.Outcome)
+	}
 	switch {
 	case e.Closed || e.Outcome == Pass:
 		s.finish(m, nil)
@@ -408,13 +411,20 @@
 	case s.now >= m.dropDead-endMargin, ran && m.class.Effect == Unsafe, s.spent(m):
 		s.giveUp(m)
 	default:
-		if ran || e.Outcome == NoRoute {
+		if !stray && (ran || e.Outcome == NoRoute) {
 			m.notBefore = s.now + retryRest<<min(m.attempts, 16)
 		}
 		s.enqueue(m)
 	}
 }
 
+// stray tells that a call was lost with its connection. An endpoint may close an idle one at any moment, and
+// a call that crosses the close is reset before it could be answered: no sign of an outage or of slowness.
+// If the endpoint is down, the next call, over a new connection, tells.
+func (s *Sender) stray(c *call, e Ended) bool {
+	return e.Outcome == Cut && e.Reused && seconds(e.Took) < c.ep.usual/2
+}
+
 func (s *Sender) spent(m *message) bool {
 	return s.cfg.MaxAttempts > 0 && m.attempts >= s.cfg.MaxAttempts
 }
@@ -467,6 +477,9 @@
 	if c.trial {
 		r.trial = false
 	}
+	if s.stray(c, e) {
+		return
+	}
 	switch e.Outcome {
 	case Pass:
 		ep.usual = ease(ep.usual, took)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -543,6 +543,41 @@
 	}
 }
 
+// Calls that cross an endpoint's close of idle connections are lost at once, and several of them make no
+// outage: the endpoint goes on answering, so they go out again without a rest. A reset that takes as long as an
+// answer, or on a new connection, is a failure like any other.
+func TestStrayResetIsNoOutage(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		fresh bool
+		sick  bool
+	}{{"stray", ms, false, false}, {"while it was served", 300 * ms, false, true}, {"on a new connection", ms, true, true}} {
+		w := newStory(t, settings(), 1)
+		w.step(0, one(), w.arrive("first", 0, 0))
+		w.step(400*ms, w.outcome("first", Pass, 0))
+		w.step(ms, w.arrive("m", 0, 0))
+		r := w.s.eps["a"].route
+		response := w.s.eps["a"].response
+		for range sickCount {
+			w.quiet(2 * time.Second / sickCount)
+			lost := w.outcome("m", Cut, 0)
+			lost.Took, lost.Reused = c.after, !c.fresh
+			w.step(5*ms, lost)
+			if !c.sick && len(w.flights()) != 1 {
+				t.Fatalf("%s: it did not go out again at once", c.name)
+			}
+			w.quiet(time.Second)
+			if r.sick {
+				break
+			}
+		}
+		if r.sick != c.sick || (w.s.eps["a"].response > response) != c.sick {
+			t.Errorf("%s: outage is %v, response %v after %v", c.name, r.sick, w.s.eps["a"].response, response)
+		}
+	}
+}
+
 // Where refused calls use up the limit, a fleet that goes on asking gets nothing: at the first refusal a
 // sender's part falls to its own demand.
 func TestRefusalCutsThePartToOwnDemand(t *testing.T) {
--- a/choice/types.go
+++ b/choice/types.go
@@ -146,6 +146,7 @@
 	Closed   bool          // the message is over
 	Wait     time.Duration // NoRoom: the wait told
 	NoSlot   bool          // Stale: all slots were taken
+	Reused   bool          // the call went over a connection that had stood idle
 	Report   Report
 }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -46,6 +46,7 @@
 	wait    time.Duration
 	noSlot  bool
 	closed  bool
+	reused  bool // it went over a connection that had stood idle
 	report  choice.Report
 }
 
@@ -90,7 +91,8 @@
 		return result{outcome: choice.Stale}
 	}
 	k := p.take(c.endpoint)
-	if k == nil {
+	reused := k != nil
+	if !reused {
 		if k, err = p.dial(ctx, c.endpoint.addr); err != nil {
 			return result{outcome: choice.NoRoute}
 		}
@@ -107,6 +109,7 @@
 	} else {
 		k.Close()
 	}
+	res.reused = reused
 	return res
 }
 
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -243,10 +243,10 @@
 		return false
 	})
 	pool, e := testPool(), endpointAt(p.addr())
-	if got := pool.do(t.Context(), testCall(e)); got.outcome != choice.Pass {
+	if got := pool.do(t.Context(), testCall(e)); got.outcome != choice.Pass || got.reused {
 		t.Fatalf("got %+v", got)
 	}
-	if got := pool.do(t.Context(), testCall(e)); got.outcome != choice.Cut {
+	if got := pool.do(t.Context(), testCall(e)); got.outcome != choice.Cut || !got.reused {
 		t.Errorf("got %+v", got)
 	}
 	if calls, conns := p.counts(); calls != 2 || conns != 1 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -398,7 +398,7 @@
 	}
 	return choice.Ended{
 		ID: e.id, Attempt: e.n, Endpoint: e.endpoint.id, Outcome: e.outcome, Took: e.took, Closed: e.closed,
-		Wait: e.wait, NoSlot: e.noSlot, Report: e.report,
+		Wait: e.wait, NoSlot: e.noSlot, Reused: e.reused, Report: e.report,
 	}
 }
 
