Move discovery on SIGHUP to the replaced configuration's address

Now the program reads its configuration again, and the watch and the notices go to the new address at once; a file that can't be read leaves the old one in force. The log names the address served, so that a test can ask for any port.

The test fails without the change: the process is gone after the signal.

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -27,7 +27,12 @@
 func run(log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	cfg, err := node.LoadConfig(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_STATE"))
+	replaced := make(chan os.Signal, 1)
+	signal.Notify(replaced, syscall.SIGHUP)
+	load := func() (node.Config, error) {
+		return node.LoadConfig(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_STATE"))
+	}
+	cfg, err := load()
 	if err != nil {
 		return err
 	}
@@ -44,5 +49,16 @@
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
+	log.Info("serving", "addr", ln.Addr())
+	go func() {
+		for range replaced {
+			// One that can't be read must not end the node, which has a good one.
+			if cfg, err := load(); err != nil {
+				log.Error("the old configuration stays", "err", err)
+			} else {
+				n.Reload(cfg)
+			}
+		}
+	}()
 	return n.Run(ctx, ln)
 }
--- /dev/null
+++ b/cmd/coralyard/main_test.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second
+
+// TestMain is the node itself when a test starts this binary as a child.
+func TestMain(m *testing.M) {
+	if os.Getenv("CORALYARD_TEST_CHILD") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// fakeDiscovery tells of the watches and the notices that reach it.
+type fakeDiscovery struct {
+	*httptest.Server
+	watches chan string // the revision after which changes are asked for
+	notices chan string
+}
+
+func newFakeDiscovery(t *testing.T, list string) *fakeDiscovery {
+	t.Helper()
+	d := &fakeDiscovery{watches: make(chan string, 16), notices: make(chan string, 16)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", func(w http.ResponseWriter, r *http.Request) {
+		d.watches <- r.FormValue("after")
+		fmt.Fprintln(w, list)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	mux.HandleFunc("POST /reports", func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		d.notices <- string(body)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	d.Server = httptest.NewServer(mux)
+	t.Cleanup(func() {
+		d.CloseClientConnections()
+		d.Close()
+	})
+	return d
+}
+
+// writeConfig puts a configuration in the place of the old one.
+func writeConfig(t *testing.T, path, discovery string) {
+	t.Helper()
+	text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
+		"limits":{"cores":1,"memory_mb":64,"sockets":256,"disk_mb":3},
+		"known":{"revision":1,"complete":true,"members":[]},
+		"settings":{"fleetSize":1,"failureDomains":["z"],"flavors":["m"],"limits":{"maxOpen":10},"categories":[
+			{"name":"status","effect":"idempotent","aim":4000,"deadline":60000,"worth":1,"lateWorth":0.3}]}}`,
+		discovery)
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func receive(t *testing.T, what string, from <-chan string) string {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("never: %s", what)
+		return ""
+	}
+}
+
+// A replaced configuration and SIGHUP move discovery, notices too, and do not end the node; nor does a file
+// that can't be read.
+func TestSIGHUPMovesDiscovery(t *testing.T) {
+	const draining = `{"id":"e","host_port":"127.0.0.1:9","locality":"z","flavor":"m","cell":7,"phase":"DRAINING","size":1}`
+	before := newFakeDiscovery(t, `{"revision":41,"complete":true,"members":[`+draining+`]}`)
+	after := newFakeDiscovery(t, "")
+	path := filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, before.Listener.Addr().String())
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "CORALYARD_TEST_CHILD=1", "ROUTER_CONFIG="+path, "ROUTER_STATE="+t.TempDir())
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewReader(log)
+	line, err := lines.ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, addr, found := strings.Cut(strings.TrimSpace(line), "msg=serving addr=")
+	if !found {
+		t.Fatalf("the log begins with %q", line)
+	}
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		io.Copy(t.Output(), lines)
+	}()
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		<-drained
+		cmd.Wait() // its error says that it was killed
+	})
+	receive(t, "a watch", before.watches)
+	ask := func(text string) string {
+		t.Helper()
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		if err := nc.SetDeadline(time.Now().Add(patience)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(nc, text); err != nil {
+			t.Fatal(err)
+		}
+		line, err := bufio.NewReader(nc).ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		return strings.TrimSpace(line)
+	}
+	const enqueue = "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$1\r\na\r\n$22\r\nc=status,d=3000,dest=7\r\n$1\r\nb\r\n"
+	for end := time.Now().Add(patience); ask(enqueue) != "+OK"; time.Sleep(time.Millisecond) { // the list has come
+		if time.Now().After(end) {
+			t.Fatal("the message is not taken on")
+		}
+	}
+
+	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	if got := ask("PING\r\n"); got != "+PONG" {
+		t.Fatalf("got %q", got)
+	}
+	writeConfig(t, path, after.Listener.Addr().String())
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	if got := receive(t, "a watch at the new address", after.watches); got != "41" {
+		t.Errorf("changes after %q are asked for", got)
+	}
+	if got := receive(t, "the notice", after.notices); !strings.Contains(got, `"id":"a"`) {
+		t.Errorf("the notice is %q", got)
+	}
+	if got := ask("PING\r\n"); got != "+PONG" {
+		t.Errorf("got %q", got)
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,18 +97,57 @@
 	}
 }
 
+// discovery is where discovery is to be found. It moves when the configuration is replaced.
+type discovery struct {
+	mu    sync.Mutex
+	addr  string
+	moved chan struct{} // closed by the next move
+}
+
+func newDiscovery(addr string) *discovery { return &discovery{addr: addr, moved: make(chan struct{})} }
+
+// move sends to addr whatever is asked of discovery from now on, and ends what is being asked elsewhere.
+func (r *discovery) move(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if addr != r.addr {
+		close(r.moved)
+		r.addr, r.moved = addr, make(chan struct{})
+	}
+}
+
+// here returns the address, and a context that ends when discovery moves away from it.
+func (r *discovery) here(ctx context.Context) (string, context.Context, context.CancelFunc) {
+	r.mu.Lock()
+	addr, moved := r.addr, r.moved
+	r.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-moved:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return addr, ctx, cancel
+}
+
 // watch follows discovery until the context ends, and hands each list on.
-func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, tell func(list)) {
+func watch(ctx context.Context, log *slog.Logger, client *http.Client, at *discovery, after int64, tell func(list)) {
 	var pause backoff
 	for ctx.Err() == nil {
-		err := watchOnce(ctx, client, addr, after, func(l list) {
+		addr, here, cancel := at.here(ctx)
+		err := watchOnce(here, client, addr, after, func(l list) {
 			after, pause = l.Revision, 0
 			tell(l)
 		})
-		if ctx.Err() == nil {
-			log.Debug("watch ended", "err", err)
-			sleep(ctx, pause.next())
+		if here.Err() != nil {
+			pause = 0 // it has moved, or the node ends
+		} else {
+			log.Debug("watch ended", "addr", addr, "err", err)
+			sleep(here, pause.next())
 		}
+		cancel()
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,25 +42,26 @@
 
 // Node is a delivery node. One goroutine, in loop, owns all that is not said to be shared.
 type Node struct {
-	cfg      Config
-	log      *slog.Logger
-	sender   *choice.Sender
-	journal  *journal
-	pool     *pool
-	client   *http.Client
-	start    time.Time
-	events   chan any
-	notices  chan []notice
-	messages map[string]*past // all in the journal, by id
-	out      map[attempt]outCall
-	eps      map[string]*endpoint
-	waits    map[int]*atomic.Int64 // of destinations whose endpoints share them
-	owed     []notice              // not yet handed to the reporter
-	dests    map[int]bool          // all that a list has ever named
-	held     int                   // messages without their final answer
-	acts     []func()              // what the records that are not yet written guard, in order
-	wakeAt   time.Duration         // of the module; 0 none
-	calls    sync.WaitGroup
+	cfg       Config
+	log       *slog.Logger
+	sender    *choice.Sender
+	journal   *journal
+	pool      *pool
+	client    *http.Client
+	discovery *discovery // shared
+	start     time.Time
+	events    chan any
+	notices   chan []notice
+	messages  map[string]*past // all in the journal, by id
+	out       map[attempt]outCall
+	eps       map[string]*endpoint
+	waits     map[int]*atomic.Int64 // of destinations whose endpoints share them
+	owed      []notice              // not yet handed to the reporter
+	dests     map[int]bool          // all that a list has ever named
+	held      int                   // messages without their final answer
+	acts      []func()              // what the records that are not yet written guard, in order
+	wakeAt    time.Duration         // of the module; 0 none
+	calls     sync.WaitGroup
 }
 
 // Events of the loop.
@@ -86,9 +87,10 @@
 	}
 	return &Node{
 		cfg: cfg, log: log, journal: j, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
-		pool:   newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8)),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
-		events: make(chan any, eventQueue), notices: make(chan []notice), messages: map[string]*past{},
+		pool:      newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8)),
+		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+		discovery: newDiscovery(cfg.Discovery),
+		events:    make(chan any, eventQueue), notices: make(chan []notice), messages: map[string]*past{},
 		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{}, dests: map[int]bool{},
 	}, nil
 }
@@ -119,10 +121,10 @@
 
 	var parts sync.WaitGroup
 	parts.Go(func() {
-		watch(life, n.log, n.client, n.cfg.Discovery, n.cfg.Known.Revision, func(l list) { n.tell(life, l) })
+		watch(life, n.log, n.client, n.discovery, n.cfg.Known.Revision, func(l list) { n.tell(life, l) })
 	})
 	parts.Go(func() {
-		report(life, n.log, n.client, n.cfg.Discovery, n.notices, func(b []notice) { n.tell(life, settled(b)) })
+		report(life, n.log, n.client, n.discovery, n.notices, func(b []notice) { n.tell(life, settled(b)) })
 	})
 	clients := newClients(ln, n.cfg.Limits.Sockets/3, n.cfg.Names.Classes, func(q request) answer { return n.hand(life, q) })
 	parts.Go(func() { clients.serve(life) })
@@ -151,6 +153,10 @@
 	return n.journal.close()
 }
 
+// Reload takes from a configuration that has replaced the old one what may change while the node runs: the
+// address of discovery. It may be called at any time, from any goroutine.
+func (n *Node) Reload(cfg Config) { n.discovery.move(cfg.Discovery) }
+
 // replayed makes the first events: the list as it was last known, and what the journal says is still owed.
 func (n *Node) replayed() []choice.Event {
 	known := n.cfg.Known
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -38,7 +38,7 @@
 // notice that comes twice does no harm and one that never comes loses its message. What was taken goes to
 // done; the journal keeps the rest for the next start.
 func report(
-	ctx context.Context, log *slog.Logger, client *http.Client, addr string, notices <-chan []notice, done func([]notice),
+	ctx context.Context, log *slog.Logger, client *http.Client, at *discovery, notices <-chan []notice, done func([]notice),
 ) {
 	for {
 		var batch []notice
@@ -50,15 +50,22 @@
 		var pause backoff
 		for len(batch) > 0 {
 			some := batch[:min(len(batch), maxNotices)]
-			if err := post(ctx, client, addr, some); err != nil {
-				log.Debug("notices not taken", "count", len(some), "err", err)
-				if !sleep(ctx, pause.next()) {
-					return
-				}
-				continue
+			addr, here, cancel := at.here(ctx)
+			err := post(here, client, addr, some)
+			switch {
+			case err == nil:
+				pause, batch = 0, batch[len(some):]
+				done(some)
+			case here.Err() != nil:
+				pause = 0 // it has moved, or the node ends
+			default:
+				log.Debug("notices not taken", "addr", addr, "count", len(some), "err", err)
+				sleep(here, pause.next())
+			}
+			cancel()
+			if ctx.Err() != nil {
+				return
 			}
-			pause, batch = 0, batch[len(some):]
-			done(some)
 		}
 	}
 }
