Let a first line with 200 hold, and no other answer that breaks off

The node took an answer cut inside its head for a reset, though it began with 200, and repeated what was delivered; and it took a 429 or 503 whose body broke off for a proof that nothing ran.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -161,26 +161,49 @@
 	return result{outcome: choice.Cut}, false
 }
 
-// answer reads one answer and tells whether the connection may carry another call.
+// answer reads one answer and tells whether the connection may carry another call. One that can't be read to its
+// end proves nothing, whatever it began to say, but for a first line with 200: that line holds.
 func (k *conn) answer() (result, bool, error) {
 	for range maxContinues {
 		k.limit.N = maxAnswerHead + maxAnswerBody
+		delivered := k.saysDelivered()
 		resp, err := http.ReadResponse(k.br, nil)
-		if err != nil {
-			return result{}, false, fmt.Errorf("answer: %w", err)
-		}
-		if resp.StatusCode < 200 {
+		if err == nil && resp.StatusCode < 200 {
 			continue
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBody+1))
-		resp.Body.Close()
-		// More than the answer in the buffer belongs to no call.
-		reuse := err == nil && n <= maxAnswerBody && !resp.Close && k.br.Buffered() == 0
-		return outcome(resp), reuse, nil
+		if err == nil {
+			var n int64
+			n, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBody+1))
+			resp.Body.Close()
+			if err == nil && n > maxAnswerBody {
+				err = errors.New("a body too large")
+			}
+		}
+		switch {
+		case err == nil: // more than the answer in the buffer belongs to no call
+			return outcome(resp), !resp.Close && k.br.Buffered() == 0, nil
+		case delivered:
+			return result{outcome: choice.Pass, closed: true}, false, nil
+		}
+		return result{}, false, fmt.Errorf("answer: %w", err)
 	}
 	return result{}, false, errors.New("answer: only 1xx")
 }
 
+// saysDelivered looks ahead for a first line with 200, which may be the last that comes of the answer. It waits
+// for no more bytes than it takes to tell.
+func (k *conn) saysDelivered() bool {
+	const want = "HTTP/1.? 200"
+	for n := 1; n <= len(want); n++ {
+		line, err := k.br.Peek(n)
+		if err != nil || (line[n-1] != want[n-1] && want[n-1] != '?') {
+			return false
+		}
+	}
+	line, err := k.br.Peek(len(want) + 1)
+	return err != nil || bytes.IndexByte([]byte(" \r\n"), line[len(want)]) >= 0
+}
+
 // outcome reads the protocol's table of answers.
 func outcome(resp *http.Response) result {
 	res := result{report: loadReport(resp.Header.Get(loadHeader))}
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -254,6 +254,36 @@
 	}
 }
 
+// A first line with 200 holds whatever becomes of the rest; any other answer that breaks off proves nothing,
+// least of all that the call has not run.
+func TestAnswersThatBreakOff(t *testing.T) {
+	for text, want := range map[string]choice.Outcome{
+		"HTTP/1.1 200":                  choice.Pass,
+		"HTTP/1.1 200 O":                choice.Pass,
+		"HTTP/1.1 200 OK\r\nContent-Le": choice.Pass,
+		"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\nd21e":  choice.Pass,
+		"HTTP/1.1 200 OK\r\n\x00\xff\r\n\r\n":                choice.Pass,
+		"HTTP/1.1 20":                                        choice.Cut,
+		"HTTP/1.1 2000 OK\r\n":                               choice.Cut,
+		"HTTP/1.1 503 No\r\nContent-Le":                      choice.Cut,
+		"HTTP/1.1 503 No\r\nContent-Length: 16\r\n\r\nd21e":  choice.Cut,
+		"HTTP/1.1 429 No\r\nRetry-After: 1\r\nTransfer-Enco": choice.Cut,
+		"\x16\x03\x01 200 OK":                                choice.Cut,
+	} {
+		p := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
+			io.WriteString(nc, text)
+			return false
+		})
+		pool := testPool()
+		if got := pool.do(t.Context(), testCall(endpointAt(p.addr()))); got.outcome != want || got.closed != (want == choice.Pass) {
+			t.Errorf("%q: got %+v", text, got)
+		}
+		if pool.size != 0 {
+			t.Errorf("%q: its connection was kept", text)
+		}
+	}
+}
+
 // A request written to a connection that the endpoint has closed is a sure reset.
 func TestServersCloseIsNoticed(t *testing.T) {
 	p := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
