End a keyed message's window a connect's time-out earlier

The module sent repeats until 25 ms before the window's end, but on sockets a call may still have to connect, and begins as late as the dial time-out allows. Now no repeat is sent whose connect could outlast the window.

--- a/choice/check_test.go
+++ b/choice/check_test.go
@@ -23,6 +23,10 @@
 		{"keyed after its window", 1, func(s *Sender, m *message, _ *endpoint) {
 			m.touched, m.mayRun = true, s.now-m.class.Window
 		}},
+		{"keyed whose connect may outlast its window", 1, func(s *Sender, m *message, _ *endpoint) {
+			s.cfg.DialTimeout = time.Second
+			m.touched, m.mayRun = true, s.now-m.class.Window+s.cfg.DialTimeout
+		}},
 		{"out already", 0, func(_ *Sender, m *message, _ *endpoint) { m.out = 1 }},
 		{"attempts spent", 0, func(s *Sender, m *message, _ *endpoint) { m.attempts = s.cfg.MaxAttempts }},
 		{"no slot", 0, func(s *Sender, _ *message, _ *endpoint) { s.busy = s.cfg.Slots }},
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -348,9 +348,10 @@
 	return m.class.Effect == Keyed && m.touched && m.class.GroupAll && s.now <= s.windowEnd(m)
 }
 
-// windowEnd is the last moment at which a keyed message's repeat is surely dropped.
+// windowEnd is the last moment at which a keyed message's repeat is surely dropped: its call may begin as
+// late as a connect takes at the most.
 func (s *Sender) windowEnd(m *message) time.Duration {
-	return m.mayRun + m.class.Window - endMargin - 2*s.cfg.Tick
+	return m.mayRun + m.class.Window - s.cfg.DialTimeout - endMargin - 2*s.cfg.Tick
 }
 
 // giveUp ends a message as its effect allows.
