--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"starlingusher/internal/wire"
 )
 
 // The reader below is our own: redcon v1.6.4 indexes out of its buffer on a bulk length near the largest
@@ -38,6 +40,7 @@
 type request struct {
 	id, key     string
 	class, dest int
+	tenant      int // -1 for none that the settings name
 	life        time.Duration
 	body        []byte
 	came        time.Time
@@ -144,8 +147,8 @@
 }
 
 // parseEnqueue reads the words of an ENQUEUE.
-func parseEnqueue(args [][]byte, classes []string, came time.Time) (request, error) {
-	q := request{came: came, class: -1, dest: -1, life: -1}
+func parseEnqueue(args [][]byte, names wire.Names, came time.Time) (request, error) {
+	q := request{came: came, class: -1, tenant: -1, dest: -1, life: -1}
 	if len(args) != 5 {
 		return q, errors.New("wrong number of arguments for 'enqueue' command")
 	}
@@ -160,9 +163,11 @@
 		name, value, _ := strings.Cut(field, "=")
 		switch name {
 		case "c":
-			if q.class = slices.Index(classes, value); q.class < 0 {
+			if q.class = slices.Index(names.Classes, value); q.class < 0 {
 				return q, errors.New("unknown class")
 			}
+		case "t":
+			q.tenant = slices.Index(names.Tenants, value)
 		case "d":
 			ms, err := strconv.ParseFloat(value, 64)
 			if err != nil || !(ms >= 0 && ms <= float64(maxLife.Milliseconds())) {
@@ -199,12 +204,12 @@
 
 // clients serves the node's clients.
 type clients struct {
-	ln      net.Listener
-	room    chan struct{} // a place for each connection
-	stop    chan struct{}
-	served  chan struct{} // closed when nothing more is accepted
-	classes []string
-	hand    func(request) answer
+	ln     net.Listener
+	room   chan struct{} // a place for each connection
+	stop   chan struct{}
+	served chan struct{} // closed when nothing more is accepted
+	names  wire.Names
+	hand   func(request) answer
 
 	mu     sync.Mutex
 	open   map[net.Conn]*peer
@@ -219,10 +224,10 @@
 	evicted bool      // its place is wanted: it ends when its request, if it has one, is answered
 }
 
-func newClients(ln net.Listener, most int, classes []string, hand func(request) answer) *clients {
+func newClients(ln net.Listener, most int, names wire.Names, hand func(request) answer) *clients {
 	return &clients{
 		ln: ln, room: make(chan struct{}, max(most, 1)), stop: make(chan struct{}), served: make(chan struct{}),
-		classes: classes, hand: hand, open: map[net.Conn]*peer{},
+		names: names, hand: hand, open: map[net.Conn]*peer{},
 	}
 }
 
@@ -346,7 +351,7 @@
 	case "PING":
 		return "+PONG\r\n"
 	case "ENQUEUE":
-		q, err := parseEnqueue(args, c.classes, came)
+		q, err := parseEnqueue(args, c.names, came)
 		if err != nil {
 			return answer{failed: err.Error()}.line()
 		}
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -9,15 +9,19 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"starlingusher/internal/wire"
 )
 
+var testNames = wire.Names{Classes: []string{"notice"}, Tenants: []string{"acme", "globex"}}
+
 func serveTest(t *testing.T, most int, hand func(request) answer) (*clients, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClients(ln, most, []string{"notice"}, hand)
+	c := newClients(ln, most, testNames, hand)
 	go c.serve(t.Context())
 	t.Cleanup(func() {
 		select {
@@ -115,13 +119,13 @@
 	})
 	nc, br := dialTest(t, addr)
 	go io.WriteString(nc, enqueue("a", "c=notice,d=8000,dest=7", strings.Repeat("x", maxBody+1))+
-		"PING\r\n"+enqueue("b", "c=notice,d=1500.5,dest=7,k=key,r=1", "\r\n\x00$*")+resp("PING"))
+		"PING\r\n"+enqueue("b", "c=notice,t=globex,d=1500.5,dest=7,k=key,r=1", "\r\n\x00$*")+resp("PING"))
 	for _, want := range []string{"-ERR a body", "+PONG", "+OK", "+PONG"} {
 		if line, err := br.ReadString('\n'); err != nil || !strings.HasPrefix(line, want) {
 			t.Fatalf("got %q, %v, want %q", line, err, want)
 		}
 	}
-	if got.id != "b" || got.key != "key" || got.dest != 7 || got.life != 1500500*time.Microsecond || string(got.body) != "\r\n\x00$*" {
+	if got.id != "b" || got.tenant != 1 || got.key != "key" || got.dest != 7 || got.life != 1500500*time.Microsecond || string(got.body) != "\r\n\x00$*" {
 		t.Errorf("got %+v", got)
 	}
 }
@@ -220,7 +224,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newClients(nil, 1, []string{"notice"}, func(q request) answer {
+				c := newClients(nil, 1, testNames, func(q request) answer {
 					t.Errorf("%q was handed in", q.id)
 					return answer{}
 				})
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -45,6 +45,7 @@
 	seq      uint64
 	id, key  string
 	class    int
+	tenant   int // -1 for none
 	dest     int
 	body     []byte
 	deadline time.Time
@@ -184,7 +185,10 @@
 	switch payload[0] {
 	case recAccepted:
 		p = &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
-			deadline: f.time(), body: f.bytes()}
+			deadline: f.time(), body: f.bytes(), tenant: -1}
+		if len(f.b) > 0 { // not in journals of earlier builds
+			p.tenant = int(f.number()) - 1
+		}
 		if !f.bad {
 			j.live[seq] = p
 			j.held += p.size()
@@ -233,7 +237,8 @@
 	b := record(recAccepted, p.seq)
 	b = appendBytes(appendBytes(b, []byte(p.id)), []byte(p.key))
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.class)), uint64(p.dest))
-	return appendBytes(appendTime(b, p.deadline), p.body)
+	b = appendBytes(appendTime(b, p.deadline), p.body)
+	return binary.AppendUvarint(b, uint64(p.tenant+1))
 }
 
 func attemptRecord(seq uint64, at time.Time, zone int) []byte {
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -31,7 +31,7 @@
 func mustAccept(t *testing.T, j *journal, id string, body []byte) *past {
 	t.Helper()
 	p, err := j.accept(&past{
-		id: id, key: "k" + id, class: 1, dest: 7, body: body, deadline: time.UnixMicro(time.Now().UnixMicro()),
+		id: id, key: "k" + id, class: 1, tenant: 2, dest: 7, body: body, deadline: time.UnixMicro(time.Now().UnixMicro()),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,7 +126,7 @@
 	parts.Go(func() {
 		report(life, n.log, n.client, n.discovery, n.notices, func(b []notice) { n.tell(life, settled(b)) })
 	})
-	clients := newClients(ln, n.cfg.Limits.Sockets/3, n.cfg.Names.Classes, func(q request) answer { return n.hand(life, q) })
+	clients := newClients(ln, n.cfg.Limits.Sockets/3, n.cfg.Names, func(q request) answer { return n.hand(life, q) })
 	parts.Go(func() { clients.serve(life) })
 	gone := make(chan struct{})
 	parts.Go(func() {
@@ -194,7 +194,7 @@
 // arrived is the module's event of a message. A deadline that has not been through the journal is on the
 // monotonic clock, so that a step of the wall clock does not move it.
 func (n *Node) arrived(p *past, deadline time.Time) choice.Arrived {
-	return choice.Arrived{ID: p.id, Class: p.class, Dest: p.dest, Key: p.key, DropDead: n.at(deadline)}
+	return choice.Arrived{ID: p.id, Class: p.class, Tenant: p.tenant, Dest: p.dest, Key: p.key, DropDead: n.at(deadline)}
 }
 
 // tell hands the loop an event.
@@ -317,7 +317,9 @@
 	case n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
 		return answer{refused: true}, false
 	}
-	p := &past{id: a.id, key: a.key, class: a.class, dest: a.dest, body: a.body, deadline: a.came.Add(a.life)}
+	p := &past{
+		id: a.id, key: a.key, class: a.class, tenant: a.tenant, dest: a.dest, body: a.body, deadline: a.came.Add(a.life),
+	}
 	p, err := n.journal.accept(p)
 	if err != nil {
 		return answer{refused: true}, false
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -186,6 +186,28 @@
 	}
 }
 
+// Worth beyond a tenant's share counts little: the module has to know whose a message is, after a restart too.
+func TestTenantReachesTheModule(t *testing.T) {
+	q, err := parseEnqueue([][]byte{nil, nil, []byte("a"), []byte("c=notice,t=globex,d=50000,dest=7"), nil}, testNames, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := t.TempDir()
+	n := &Node{journal: openTest(t, state, 3), messages: map[string]*past{}, dests: map[int]bool{7: true}, start: time.Now()}
+	if refusal, ok := n.accept(arrival{request: q}); !ok {
+		t.Fatalf("got %+v", refusal)
+	}
+	mustFlush(t, n.journal)
+	if got := n.arrived(n.messages["a"], time.Now()).Tenant; got != 1 {
+		t.Errorf("tenant %d", got)
+	}
+	for _, p := range openTest(t, state, 3).live {
+		if got := n.resumed(p).Tenant; got != 1 {
+			t.Errorf("tenant %d after a restart", got)
+		}
+	}
+}
+
 func TestDeliversAndForgets(t *testing.T) {
 	t.Parallel()
 	p, state := newPartner(t, says(delivered)), t.TempDir()
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -109,9 +109,9 @@
 	return s, nil
 }
 
-// Names are the words that the settings give to classes, kinds and zones; a word's place is its number.
+// Names are the words that the settings give to classes, kinds, zones and tenants; a word's place is its number.
 type Names struct {
-	Classes, Kinds, Zones []string
+	Classes, Kinds, Zones, Tenants []string
 }
 
 // SettingsNames reads the names from the settings.
@@ -120,6 +120,9 @@
 		Categories []struct {
 			Name string `json:"name"`
 		} `json:"categories"`
+		Customers []struct {
+			Name string `json:"name"`
+		} `json:"customers"`
 		Flavors []string `json:"flavors"`
 		Zones   []string `json:"failureDomains"`
 	}
@@ -130,5 +133,8 @@
 	for _, k := range c.Categories {
 		n.Classes = append(n.Classes, k.Name)
 	}
+	for _, k := range c.Customers {
+		n.Tenants = append(n.Tenants, k.Name)
+	}
 	return n, nil
 }
