Let operators take endpoints out and put them back, as events of the module

Disabled and Enabled stand beside the list and health: neither a list that drops and returns the endpoint nor a success lifts the mark, the one check before every send respects it, and back means cold as after an outage.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -75,7 +75,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		dests: map[int]*destination{}, eps: map[string]*endpoint{}, msgs: map[string]*message{},
 		lines: map[string][]*message{}, rests: map[string]time.Duration{}, sent: map[attempt]sending{},
-		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{},
+		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{}, out: map[string]bool{},
 	}
 	s.cfg.Fleet = max(cfg.Fleet, 1)
 	if cfg.AskForList {
@@ -87,10 +87,15 @@
 // Step takes the events of a moment and returns what to do about them, in order.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
 	s.now, s.actions = now, nil
-	// Lists first: a drain acts in the step that told of it, whatever stands before it in the batch.
+	// Lists and operators first: a drain acts in the step that told of it, whatever stands before it in the batch.
 	for _, e := range events {
-		if l, ok := e.(Listed); ok {
-			s.listed(l)
+		switch e := e.(type) {
+		case Listed:
+			s.listed(e)
+		case Disabled:
+			s.setOut(e.Endpoint, true)
+		case Enabled:
+			s.setOut(e.Endpoint, false)
 		}
 	}
 	for _, e := range events {
@@ -158,7 +163,7 @@
 	if l.Whole {
 		for _, d := range s.order {
 			for _, e := range d.endpoints {
-				e.ready = false
+				e.ready, e.listed = false, false
 			}
 		}
 	}
@@ -166,7 +171,7 @@
 		d := s.destination(entry.Dest)
 		e := s.eps[entry.Endpoint]
 		if e == nil || e.dest != d {
-			e = &endpoint{id: entry.Endpoint, zone: entry.Zone, dest: d}
+			e = &endpoint{id: entry.Endpoint, zone: entry.Zone, dest: d, disabled: s.out[entry.Endpoint]}
 			s.eps[entry.Endpoint] = e
 			d.endpoints = append(d.endpoints, e)
 			d.kind = entry.Kind
@@ -174,13 +179,30 @@
 				e.route = newRoute()
 			}
 		}
-		e.ready = entry.Phase == Ready
+		e.ready, e.listed = entry.Phase == Ready, entry.Phase != Gone
 		if s.cfg.Weighted && entry.Weight > 0 {
 			e.route.weight = entry.Weight
 		}
 	}
 }
 
+// setOut takes an endpoint out or puts it back, whatever its health and the list. Who takes one out restarts it
+// most likely, so it is taken for cold on its return.
+func (s *Sender) setOut(id string, out bool) {
+	was := s.out[id]
+	if s.out[id] = true; !out {
+		delete(s.out, id)
+	}
+	e := s.eps[id]
+	if e == nil {
+		return
+	}
+	if e.disabled = out; was && !out {
+		e.route.fails = 0
+		s.cool(e.route)
+	}
+}
+
 func newRoute() *route { return &route{part: 1, tokens: 1} }
 
 // arrived admits a message or refuses it at once.
@@ -248,8 +270,7 @@
 	}
 	for _, ep := range d.endpoints {
 		if r := ep.route; e.Failed && !r.recovering() {
-			s.strike(r)
-			r.sick, r.coldFrom = false, s.now
+			s.cool(r)
 		}
 	}
 	s.hold(m, e.Key)
@@ -455,7 +476,7 @@
 
 func (d *destination) troubled() bool {
 	for _, e := range d.endpoints {
-		if e.ready && !e.route.sick {
+		if e.usable() && !e.route.sick {
 			return false
 		}
 	}
@@ -591,6 +612,12 @@
 	r.trialAt = s.now + r.backoff
 }
 
+// cool takes a route for just back from an outage.
+func (s *Sender) cool(r *route) {
+	s.strike(r)
+	r.sick, r.coldFrom = false, s.now
+}
+
 // passed notes a delivered call: the end of an outage, a step of the recovery, or plain health.
 func (s *Sender) passed(r *route) {
 	if !r.sick && r.fails == 0 {
@@ -699,7 +726,7 @@
 // first tries at silent destinations held them all.
 func (s *Sender) lame(d *destination) bool {
 	for _, e := range d.endpoints {
-		if e.ready && e.route.fails == 0 {
+		if e.usable() && e.route.fails == 0 {
 			return s.slow(d)
 		}
 	}
@@ -861,10 +888,10 @@
 	return fit[len(fit)-1]
 }
 
-// routeOpen is the part of the check that hangs on the endpoint alone: drain, wait, health, budget and pace.
+// routeOpen is the part of the check that hangs on the endpoint alone: operators, drain, wait, health, budget and pace.
 func (s *Sender) routeOpen(e *endpoint) bool {
 	r := e.route
-	if !e.ready || s.now < r.waitUntil || r.tokens < 1 {
+	if !e.usable() || s.now < r.waitUntil || r.tokens < 1 {
 		return false
 	}
 	return !r.sick || (!r.trial && s.now >= r.trialAt)
--- a/choice/state.go
+++ b/choice/state.go
@@ -26,7 +26,8 @@
 	asking  time.Duration       // pause before the list is asked for again
 	askAt   time.Duration
 	leaving bool
-	failing float64 // smoothed share of failures at routes not known to be struck
+	out     map[string]bool // endpoints that operators have taken out
+	failing float64         // smoothed share of failures at routes not known to be struck
 	actions []Action
 }
 
@@ -91,6 +92,8 @@
 	dest     *destination
 	route    *route
 	ready    bool
+	listed   bool          // it is in the list, ready or draining
+	disabled bool          // operators have taken it out
 	response float64       // smoothed seconds, failures counting slow
 	usual    float64       // smoothed seconds of passed calls
 	sentAt   time.Duration // last call
@@ -228,3 +231,21 @@
 		delete(s.lines, key)
 	}
 }
+
+// Pool counts the listed endpoints, and those of them that are avoided: taken out by operators, or struck.
+func (s *Sender) Pool() (size, avoided int) {
+	for _, d := range s.order {
+		for _, e := range d.endpoints {
+			if e.listed && s.eps[e.id] == e {
+				size++
+				if e.disabled || (e.ready && e.route.sick) {
+					avoided++
+				}
+			}
+		}
+	}
+	return size, avoided
+}
+
+// usable tells that neither the list nor the operators forbid new work there.
+func (e *endpoint) usable() bool { return e.ready && !e.disabled }
--- a/choice/types.go
+++ b/choice/types.go
@@ -107,8 +107,8 @@
 	Weight     float64
 }
 
-// Event is one piece of news for a sender: Listed, Arrived, Resumed, Ended, Dropped, Probed, Rang
-// or Leaving.
+// Event is one piece of news for a sender: Listed, Arrived, Resumed, Ended, Dropped, Probed, Rang,
+// Leaving, Disabled or Enabled.
 type Event interface{ event() }
 
 // Listed brings the list of endpoints, whole or as changes.
@@ -167,14 +167,23 @@
 // Leaving says that the process is about to end: what is out may finish, and nothing new should be sent.
 type Leaving struct{}
 
-func (Leaving) event() {}
-func (Listed) event()  {}
-func (Arrived) event() {}
-func (Resumed) event() {}
-func (Ended) event()   {}
-func (Dropped) event() {}
-func (Probed) event()  {}
-func (Rang) event()    {}
+// Disabled says that operators have taken an endpoint out: whatever the list and its health say, nothing more goes
+// there until Enabled. The endpoint need not have been listed yet.
+type Disabled struct{ Endpoint string }
+
+// Enabled says that operators have put an endpoint back. It was most likely restarted meanwhile.
+type Enabled struct{ Endpoint string }
+
+func (Leaving) event()  {}
+func (Disabled) event() {}
+func (Enabled) event()  {}
+func (Listed) event()   {}
+func (Arrived) event()  {}
+func (Resumed) event()  {}
+func (Ended) event()    {}
+func (Dropped) event()  {}
+func (Probed) event()   {}
+func (Rang) event()     {}
 
 // Action is one decision: Send, PushBack, Fail, Cancel, Probe, HangUp, Wake, Watch or Note.
 type Action interface{ action() }
