Open a door for operators: readiness, figures, endpoints by hand, drain

- Figures are atomic counters where the event happens: final answers in the loop, tries where a call is written whole.
- Orders go through the loop; yes comes after orders.json is replaced and the module has stepped.
- A drain lets 0.5 s pass, in which the front hears of it, then ends each connection between requests.
A connection whose wait is ended is looked at once more, so that none is closed over a request.
- Calls are bounded by places, so that the door, discovery and files keep their descriptors.

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -41,6 +41,13 @@
 		// Half of the limit: sockets' buffers, stacks and the journal's two files count against it as well.
 		debug.SetMemoryLimit(int64((mb - cfg.Limits.DiskMB) / 2 * (1 << 20)))
 	}
+	// A door that can't be opened ends the node before it has taken anything on.
+	var door net.Listener
+	if cfg.Console != "" {
+		if door, err = net.Listen("tcp", cfg.Console); err != nil {
+			return fmt.Errorf("operators: %w", err)
+		}
+	}
 	n, err := node.New(cfg, log.With("node", cfg.Name))
 	if err != nil {
 		return err
@@ -49,6 +56,9 @@
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
+	if door != nil {
+		defer n.ServeOperators(door)()
+	}
 	log.Info("serving", "addr", ln.Addr())
 	go func() {
 		for range replaced {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"starlingusher/choice"
@@ -54,6 +55,8 @@
 type pool struct {
 	dialTimeout, idleFor time.Duration
 	maxIdle              int
+	places               chan struct{} // one taken for each connection
+	tries                *atomic.Int64 // messages written whole
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by endpoint; the last one was used last
@@ -67,15 +70,17 @@
 	limit   *io.LimitedReader
 	br      *bufio.Reader
 	watched chan error // the idle watch's end
+	ended   func()     // gives back its place; may be called again
 }
 
-func newPool(dialTimeout, connIdle time.Duration, maxIdle int) *pool {
+// newPool makes a pool that holds most connections altogether: the descriptors beyond are others'.
+func newPool(dialTimeout, connIdle time.Duration, maxIdle, most int, tries *atomic.Int64) *pool {
 	if dialTimeout <= 0 {
 		dialTimeout = time.Second
 	}
 	return &pool{
 		dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
-		idle: map[string][]*conn{},
+		places: make(chan struct{}, most), tries: tries, idle: map[string][]*conn{},
 	}
 }
 
@@ -93,6 +98,9 @@
 	k := p.take(c.endpoint)
 	reused := k != nil
 	if !reused {
+		if !p.place(ctx) {
+			return result{outcome: choice.Stale}
+		}
 		if k, err = p.dial(ctx, c.endpoint.addr); err != nil {
 			return result{outcome: choice.NoRoute}
 		}
@@ -103,7 +111,7 @@
 		return result{outcome: choice.Stale}
 	}
 	stop := context.AfterFunc(ctx, func() { k.Close() })
-	res, reuse := k.exchange(ctx, request)
+	res, reuse := k.exchange(ctx, request, p.tries)
 	if stop() && reuse {
 		p.give(c.endpoint, k)
 	} else {
@@ -133,21 +141,57 @@
 	return b.Bytes(), nil
 }
 
+// place takes a place for a new connection: a free one, that of one kept idle, or the next that a call gives back.
+func (p *pool) place(ctx context.Context) bool {
+	select {
+	case p.places <- struct{}{}:
+		return true
+	default:
+	}
+	p.mu.Lock()
+	for id, kept := range p.idle {
+		k := kept[0]
+		p.drop(id, 0)
+		k.Close()
+		break
+	}
+	p.mu.Unlock()
+	late := time.NewTimer(p.dialTimeout)
+	defer late.Stop()
+	select {
+	case p.places <- struct{}{}:
+		return true
+	case <-late.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (k *conn) Close() error {
+	k.ended()
+	return k.Conn.Close()
+}
+
+// dial opens a connection in a place that was taken for it.
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
 	d := net.Dialer{Timeout: p.dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", addr)
+	ended := sync.OnceFunc(func() { <-p.places })
 	if err != nil {
+		ended()
 		return nil, err
 	}
 	l := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, addr: addr, limit: l, br: bufio.NewReaderSize(l, 4096)}, nil
+	return &conn{Conn: nc, addr: addr, limit: l, br: bufio.NewReaderSize(l, 4096), ended: ended}, nil
 }
 
-// exchange writes the request and reads the answer; reuse tells that the connection is good for another call.
-func (k *conn) exchange(ctx context.Context, request []byte) (res result, reuse bool) {
+// exchange writes the request, which counts among the tries once it is written whole, and reads the answer; reuse
+// tells that the connection is good for another call.
+func (k *conn) exchange(ctx context.Context, request []byte, tries *atomic.Int64) (res result, reuse bool) {
 	if n, err := k.Write(request); err != nil && n < len(request) {
 		return result{outcome: choice.NoRoute}, false // without its last byte the endpoint has not begun it
 	}
+	tries.Add(1)
 	res, reuse, err := k.answer()
 	if err == nil {
 		return res, reuse
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -113,7 +113,7 @@
 	return &endpoint{id: "e", addr: addr, wait: new(atomic.Int64)}
 }
 
-func testPool() *pool { return newPool(2*time.Second, time.Minute, 16) }
+func testPool() *pool { return newPool(2*time.Second, time.Minute, 16, 64, new(atomic.Int64)) }
 
 func testCall(e *endpoint) call {
 	return call{id: "9b1f03aa5c7e2d41", key: "5c0f", body: []byte("body\x00"), endpoint: e, notPast: time.Now().Add(patience)}
@@ -175,9 +175,9 @@
 			io.ReadFull(far, make([]byte, 10))
 			far.Close()
 		}()
-		k := &conn{Conn: near}
-		if got, reuse := k.exchange(t.Context(), []byte(strings.Repeat("x", 100))); got.outcome != choice.NoRoute || reuse {
-			t.Errorf("got %+v, %v", got, reuse)
+		k, tries := &conn{Conn: near}, new(atomic.Int64)
+		if got, reuse := k.exchange(t.Context(), []byte(strings.Repeat("x", 100)), tries); got.outcome != choice.NoRoute || reuse || tries.Load() != 0 {
+			t.Errorf("got %+v, %v, %d tries", got, reuse, tries.Load())
 		}
 	})
 	t.Run("ended after the last byte", func(t *testing.T) {
@@ -305,7 +305,7 @@
 
 func TestIdleConnectionIsDroppedInTime(t *testing.T) {
 	p := newPartner(t, says(delivered))
-	pool, e := newPool(time.Second, 20*time.Millisecond, 16), endpointAt(p.addr())
+	pool, e := newPool(time.Second, 20*time.Millisecond, 16, 64, new(atomic.Int64)), endpointAt(p.addr())
 	pool.do(t.Context(), testCall(e))
 	eventually(t, "the idle connection is dropped", func() bool {
 		pool.mu.Lock()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -33,6 +34,8 @@
 	idleTimeout    = 2200 * time.Millisecond
 	requestTimeout = time.Second            // from a request's first byte to its last, and to write an answer
 	closeGrace     = 500 * time.Millisecond // for requests that are half read when the node leaves
+	drainSettle    = 500 * time.Millisecond // the front hears of a drain within 0.1 s, and obeys 0.2 s later
+	lookTimeout    = time.Millisecond       // for a request that crosses the end of a wait for one
 	lingerTimeout  = 300 * time.Millisecond // in which a client may read why it is being hung up on
 )
 
@@ -214,6 +217,8 @@
 	mu     sync.Mutex
 	open   map[net.Conn]*peer
 	closed bool
+	drains *time.Timer // set while the node is drained: when it goes off, connections end between requests
+	sends  bool        // it has gone off
 	wg     sync.WaitGroup
 }
 
@@ -221,6 +226,7 @@
 type peer struct {
 	idle    bool      // between requests, since then
 	since   time.Time // of its last answer, or when it came
+	asked   bool      // it has made a request
 	evicted bool      // its place is wanted: it ends when its request, if it has one, is answered
 }
 
@@ -289,13 +295,63 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.open[nc]
-	if idle && (c.closed || p.evicted) {
+	if idle && (c.closed || p.evicted || (c.sends && p.asked)) {
 		return false
 	}
-	p.idle, p.since = idle, since
+	p.idle, p.since, p.asked = idle, since, p.asked || !idle
 	return true
 }
 
+// lastLook tells whether a request has come after all when the wait for one has been ended: a connection is not
+// closed over a request that the client has sent.
+func lastLook(nc net.Conn, r *bufio.Reader, err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || nc.SetReadDeadline(time.Now().Add(lookTimeout)) != nil {
+		return false
+	}
+	_, err = r.Peek(1)
+	return err == nil
+}
+
+// drain sends clients away, or takes them again. PING says no at once. The front takes a while to hear of it, and
+// until then its new connections are served as ever; then each connection ends between requests; a new one, the
+// front's own among them, may make one.
+func (c *clients) drain(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case on && c.drains == nil:
+		var t *time.Timer
+		t = time.AfterFunc(drainSettle, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.drains == t {
+				c.sends = true
+				c.callBackIdle()
+			}
+		})
+		c.drains = t
+	case !on && c.drains != nil:
+		c.drains.Stop()
+		c.drains, c.sends = nil, false
+	}
+}
+
+// drained tells that clients are being sent away.
+func (c *clients) drained() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.drains != nil
+}
+
+// callBackIdle ends the wait of every connection between requests; the lock is held.
+func (c *clients) callBackIdle() {
+	for nc, p := range c.open {
+		if p.idle {
+			callBack(nc)
+		}
+	}
+}
+
 func (c *clients) serveConn(nc net.Conn) {
 	defer func() {
 		c.mu.Lock()
@@ -310,7 +366,7 @@
 		if nc.SetDeadline(since.Add(idleTimeout)) != nil || (r.Buffered() == 0 && !c.mark(nc, true, since)) {
 			return
 		}
-		if _, err := r.Peek(1); err != nil {
+		if _, err := r.Peek(1); err != nil && !lastLook(nc, r, err) {
 			return
 		}
 		came := time.Now()
@@ -349,6 +405,9 @@
 func (c *clients) command(args [][]byte, came time.Time) string {
 	switch strings.ToUpper(string(args[0])) {
 	case "PING":
+		if c.drained() {
+			return "-DRAINING this node takes no new clients\r\n"
+		}
 		return "+PONG\r\n"
 	case "ENQUEUE":
 		q, err := parseEnqueue(args, c.names, came)
@@ -376,11 +435,7 @@
 	<-c.served
 	c.mu.Lock()
 	c.closed = true
-	for nc, p := range c.open {
-		if p.idle {
-			callBack(nc)
-		}
-	}
+	c.callBackIdle()
 	c.mu.Unlock()
 	slow := time.AfterFunc(closeGrace, func() {
 		c.mu.Lock()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -16,6 +16,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Console   string `json:"console"` // the operators' door; empty for none
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -31,7 +32,8 @@
 	Names    wire.Names      `json:"-"`
 }
 
-// LoadConfig reads the configuration file of a node whose lasting folder is state.
+// LoadConfig reads the configuration file of a node whose lasting folder is state. The environment names the
+// address of the operators' door before the file does: two processes of one node may share the file.
 func LoadConfig(path, state string) (Config, error) {
 	var c Config
 	raw, err := os.ReadFile(path)
@@ -42,6 +44,9 @@
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	c.State = state
+	if console := os.Getenv("ROUTER_CONSOLE"); console != "" {
+		c.Console = console
+	}
 	if c.Settings, err = wire.Settings(c.RawSettings); err != nil {
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -69,12 +69,13 @@
 	id, addr string
 	zone     int
 	shut     atomic.Bool   // it drains or is gone
+	out      atomic.Bool   // operators have taken it out
 	wait     *atomic.Int64 // Unix time in nanoseconds; its destination, or route, asked to be left alone until then
 }
 
 // closedTo tells that nothing new may go to the endpoint now.
 func (e *endpoint) closedTo(now time.Time) bool {
-	return e.shut.Load() || now.UnixNano() < e.wait.Load()
+	return e.shut.Load() || e.out.Load() || now.UnixNano() < e.wait.Load()
 }
 
 // backoff is a pause that doubles, with half of it left to chance so that nodes don't return in step.
--- /dev/null
+++ b/internal/node/figures.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"sync/atomic"
+)
+
+// figures are what the operators read. Counters run from the start of the process, each counted once, where its
+// event happens; the loop publishes the gauges after every step, so that a reader waits for nobody.
+type figures struct {
+	classes []string
+	ends    []ends       // by class
+	tries   atomic.Int64 // messages written whole to endpoints
+
+	active, poolSize, poolEjected atomic.Int64
+}
+
+// ends counts the final answers of a class.
+type ends struct{ ok, shed, errors atomic.Int64 }
+
+func newFigures(classes []string) *figures {
+	return &figures{classes: classes, ends: make([]ends, len(classes))}
+}
+
+// delivered, shed and failed count a message's final answer. A class that the settings don't name has no figure.
+func (f *figures) delivered(class int) {
+	if e := f.of(class); e != nil {
+		e.ok.Add(1)
+	}
+}
+
+func (f *figures) shed(class int) {
+	if e := f.of(class); e != nil {
+		e.shed.Add(1)
+	}
+}
+
+func (f *figures) failed(class int) {
+	if e := f.of(class); e != nil {
+		e.errors.Add(1)
+	}
+}
+
+func (f *figures) of(class int) *ends {
+	if f == nil || class < 0 || class >= len(f.ends) {
+		return nil
+	}
+	return &f.ends[class]
+}
+
+// text writes the figures as StatsD lines.
+func (f *figures) text() []byte {
+	var b bytes.Buffer
+	for i, name := range f.classes {
+		e := &f.ends[i]
+		fmt.Fprintf(&b, "router.ok.%s:%d|c\n", name, e.ok.Load())
+		fmt.Fprintf(&b, "router.shed.%s:%d|c\n", name, e.shed.Load())
+		fmt.Fprintf(&b, "router.errors.%s:%d|c\n", name, e.errors.Load())
+	}
+	fmt.Fprintf(&b, "router.tries:%d|c\n", f.tries.Load())
+	fmt.Fprintf(&b, "router.active:%d|g\n", f.active.Load())
+	fmt.Fprintf(&b, "router.pool_size:%d|g\n", f.poolSize.Load())
+	fmt.Fprintf(&b, "router.pool_ejected:%d|g\n", f.poolEjected.Load())
+	return b.Bytes()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"log/slog"
 	"maps"
@@ -21,6 +22,7 @@
 	epoch      = 48 * time.Hour
 	maxBatch   = 256 // events in one Step
 	eventQueue = 1024
+	setAside   = 2*doorPlaces + 16 // descriptors that neither clients nor calls may take
 	// After SIGTERM clients go on coming for 0.4 s, and SIGKILL comes after 3.7 s. Until holdAfter all goes on
 	// as ever; then the module is told to send nothing new, and what is out has until leaveAfter to end. All the
 	// while messages are taken on: the journal has them for the next start.
@@ -49,6 +51,10 @@
 	pool      *pool
 	client    *http.Client
 	discovery *discovery // shared
+	orders    *orders
+	clients   *clients    // shared
+	figures   *figures    // shared
+	serving   atomic.Bool // shared: the loop runs
 	start     time.Time
 	events    chan any
 	notices   chan []notice
@@ -57,6 +63,7 @@
 	eps       map[string]*endpoint
 	waits     map[int]*atomic.Int64 // of destinations whose endpoints share them
 	owed      []notice              // not yet handed to the reporter
+	named     map[string]bool       // endpoints that a list has ever named
 	dests     map[int]bool          // all that a list has ever named
 	held      int                   // messages without their final answer
 	acts      []func()              // what the records that are not yet written guard, in order
@@ -77,6 +84,13 @@
 		took time.Duration
 	}
 	settled []notice
+
+	// order is what operators tell the node. done gets nil once it holds, or why it does not.
+	order struct {
+		endpoint string // to take out or put back; empty for a drain
+		on       bool
+		done     chan error
+	}
 )
 
 // New loads the journal. Its folder must be the node's alone.
@@ -85,16 +99,28 @@
 	if err != nil {
 		return nil, err
 	}
+	o, err := readOrders(cfg.State)
+	if err != nil {
+		return nil, errors.Join(err, j.close())
+	}
+	if err := o.setDrained(false); err != nil { // a drain is the running node's: it ends with a restart
+		return nil, errors.Join(err, j.close())
+	}
+	figures := newFigures(cfg.Names.Classes)
 	return &Node{
-		cfg: cfg, log: log, journal: j, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
-		pool:      newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8)),
+		cfg: cfg, log: log, journal: j, orders: o, figures: figures, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
+		pool:      newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8), callPlaces(cfg.Limits.Sockets), &figures.tries),
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
 		discovery: newDiscovery(cfg.Discovery),
 		events:    make(chan any, eventQueue), notices: make(chan []notice), messages: map[string]*past{},
-		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{}, dests: map[int]bool{},
+		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{}, dests: map[int]bool{}, named: map[string]bool{},
 	}, nil
 }
 
+// callPlaces is how many descriptors calls may take: clients have a third, and the rest is set aside for the door,
+// discovery, notices, files and the listeners.
+func callPlaces(sockets int) int { return max(sockets-sockets/3-setAside, 8) }
+
 // seed reads the configuration's hexadecimal seed; any other text serves as well.
 func seed(text string) uint64 {
 	if v, err := strconv.ParseUint(text, 16, 64); err == nil {
@@ -126,8 +152,8 @@
 	parts.Go(func() {
 		report(life, n.log, n.client, n.discovery, n.notices, func(b []notice) { n.tell(life, settled(b)) })
 	})
-	clients := newClients(ln, n.cfg.Limits.Sockets/3, n.cfg.Names, func(q request) answer { return n.hand(life, q) })
-	parts.Go(func() { clients.serve(life) })
+	n.clients = newClients(ln, n.cfg.Limits.Sockets/3, n.cfg.Names, func(q request) answer { return n.hand(life, q) })
+	parts.Go(func() { n.clients.serve(life) })
 	gone := make(chan struct{})
 	parts.Go(func() {
 		defer close(gone)
@@ -135,9 +161,11 @@
 		sleep(life, holdAfter)
 		n.tell(life, choice.Leaving{})
 		sleep(life, leaveAfter-holdAfter)
-		clients.close() // those inside a request get their answers from the loop, which still runs
+		n.clients.close() // those inside a request get their answers from the loop, which still runs
 	})
+	n.serving.Store(true)
 	n.loop(life, gone)
+	n.serving.Store(false)
 
 	for _, c := range n.out {
 		c.cancel()
@@ -162,6 +190,9 @@
 	known := n.cfg.Known
 	known.Complete = true
 	events := []choice.Event{n.listed(known)}
+	for _, id := range slices.Sorted(maps.Keys(n.orders.out)) {
+		events = append(events, choice.Disabled{Endpoint: id})
+	}
 	// In the order in which they were taken on.
 	for _, seq := range slices.Sorted(maps.Keys(n.journal.live)) {
 		p := n.journal.live[seq]
@@ -278,6 +309,10 @@
 			}
 		case choice.Leaving:
 			events = append(events, e)
+		case order:
+			if news := n.obey(e); news != nil {
+				events = append(events, news)
+			}
 		case arrival:
 			if refusal, ok := n.accept(e); !ok {
 				e.reply <- refusal
@@ -295,6 +330,7 @@
 			return isNew
 		})
 		for id, a := range fresh {
+			n.figures.shed(a.class)
 			n.forget(n.messages[id])
 			a.reply <- answer{refused: true}
 		}
@@ -313,8 +349,10 @@
 	case n.messages[a.id] != nil:
 		return answer{}, false // taken on before: handed in again it has no second effect
 	case !n.dests[a.dest]:
+		n.figures.failed(a.class)
 		return answer{failed: "unknown destination"}, false
 	case n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
+		n.figures.shed(a.class)
 		return answer{refused: true}, false
 	}
 	p := &past{
@@ -322,6 +360,7 @@
 	}
 	p, err := n.journal.accept(p)
 	if err != nil {
+		n.figures.shed(a.class)
 		return answer{refused: true}, false
 	}
 	n.messages[p.id] = p
@@ -329,6 +368,36 @@
 	return answer{}, true
 }
 
+// obey carries out what operators have told. The yes follows once the module has heard of it.
+func (n *Node) obey(o order) choice.Event {
+	done := func(err error) { n.acts = append(n.acts, func() { o.done <- err }) }
+	if o.endpoint == "" {
+		err := n.orders.setDrained(o.on)
+		if err == nil {
+			n.clients.drain(o.on)
+		}
+		done(err)
+		return nil
+	}
+	if !n.named[o.endpoint] && !n.orders.out[o.endpoint] {
+		done(errUnknownEndpoint)
+		return nil
+	}
+	if err := n.orders.setOut(o.endpoint, o.on); err != nil {
+		done(err)
+		return nil
+	}
+	if e := n.eps[o.endpoint]; e != nil {
+		e.out.Store(o.on)
+	}
+	done(nil)
+	if !o.on {
+		return choice.Enabled{Endpoint: o.endpoint}
+	}
+	n.pool.hangUp(o.endpoint) // it is about to be restarted
+	return choice.Disabled{Endpoint: o.endpoint}
+}
+
 // forget ends all that the node has of a message.
 func (n *Node) forget(p *past) {
 	if n.messages[p.id] != p {
@@ -349,6 +418,7 @@
 	for i, m := range l.Members {
 		named[m.ID] = true
 		n.dests[m.Cell] = true
+		n.named[m.ID] = true
 		e := n.eps[m.ID]
 		if entries[i].Phase != choice.Ready {
 			n.shut(e)
@@ -356,7 +426,9 @@
 		}
 		if e == nil || e.addr != m.Addr {
 			n.shut(e)
-			n.eps[m.ID] = &endpoint{id: m.ID, addr: m.Addr, zone: entries[i].Zone, wait: n.waitOf(entries[i])}
+			e = &endpoint{id: m.ID, addr: m.Addr, zone: entries[i].Zone, wait: n.waitOf(entries[i])}
+			e.out.Store(n.orders.out[m.ID])
+			n.eps[m.ID] = e
 		}
 	}
 	for id, e := range n.eps {
@@ -398,6 +470,11 @@
 		n.journal.add(outcomeRecord(recFailed, m.seq, e.n))
 	}
 	if e.closed && m.ended == nil {
+		if e.outcome == choice.Pass {
+			n.figures.delivered(m.class)
+		} else { // withdrawn or out of time, the endpoint says
+			n.figures.failed(m.class)
+		}
 		n.forget(m)
 	}
 	if e.wait > 0 {
@@ -437,6 +514,7 @@
 			n.log.Info(a.Text)
 		}
 	}
+	n.publish()
 	for _, a := range fresh { // not refused, so taken on
 		n.acts = append(n.acts, func() { a.reply <- answer{} })
 	}
@@ -450,12 +528,25 @@
 	n.acts = n.acts[:0]
 }
 
+// publish brings the gauges up to date for readers that must not wait for the loop.
+func (n *Node) publish() {
+	size, avoided := n.sender.Pool()
+	n.figures.active.Store(int64(n.held))
+	n.figures.poolSize.Store(int64(size))
+	n.figures.poolEjected.Store(int64(avoided))
+}
+
 // end gives a message its final answer: to its client if that still waits, and by a notice otherwise.
 func (n *Node) end(id string, e ending, fresh map[string]arrival) {
 	p := n.messages[id]
 	if p == nil || p.ended != nil {
 		return
 	}
+	if e.failed {
+		n.figures.failed(p.class)
+	} else {
+		n.figures.shed(p.class)
+	}
 	if a, ok := fresh[id]; ok {
 		delete(fresh, id)
 		n.forget(p)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -150,12 +150,23 @@
 
 // startNode runs a node in this process until the test ends or stop is called.
 func startNode(t *testing.T, r *registry, state string, known ...string) (addr string, stop func()) {
+	t.Helper()
+	addr, _, stop = startOperated(t, r, state, known...)
+	return addr, stop
+}
+
+// startOperated does, and tells where its door is.
+func startOperated(t *testing.T, r *registry, state string, known ...string) (addr, door string, stop func()) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr = ln.Addr().String()
+	doorLn, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, door = ln.Addr().String(), doorLn.Addr().String()
 	cfg, err := LoadConfig(writeConfig(t, addr, r.addr(), known...), state)
 	if err != nil {
 		t.Fatal(err)
@@ -164,6 +175,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	shut := n.ServeOperators(doorLn)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx, ln) }()
@@ -172,9 +184,11 @@
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
+		shut()
 	})
 	t.Cleanup(stop)
-	return addr, stop
+	eventually(t, "the node serves", n.ready)
+	return addr, door, stop
 }
 
 const ofStatus, ofOrder, ofPayout = "c=status,d=50000,dest=7", "c=order,d=50000,dest=7,k=key", "c=payout,d=50000,dest=7"
