Let a sender's whole state be carried to another process

The random stories, carried over at every seventh step, take the same actions as ones that are not. Endpoints by hand are now part of the stories and of their checker.

--- /dev/null
+++ b/choice/carry_test.go
@@ -0,0 +1,40 @@
+package choice
+
+import (
+	"slices"
+	"strings"
+	"testing"
+)
+
+// A sender that has been carried over decides what the one it comes from would have decided, at any moment: slots,
+// waits, budgets, gates, turns and what operators have taken out all come along.
+func TestCarriedSenderDecidesTheSame(t *testing.T) {
+	for seed := range uint64(12) {
+		one, other := randomStory(t, seed, 1200), carriedStory(t, seed, 1200, 7)
+		if len(one.log) == 0 || !slices.Equal(one.log, other.log) {
+			i := 0
+			for i < min(len(one.log), len(other.log)) && one.log[i] == other.log[i] {
+				i++
+			}
+			t.Errorf("seed %d: they part at action %d of %d", seed, i, len(one.log))
+		}
+	}
+}
+
+// What can't have been written by Carry is an error, not a crash.
+func TestCarriedRefusesNonsense(t *testing.T) {
+	w := randomStory(t, 3, 300)
+	raw, err := w.s.Carry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := string(raw)
+	for _, text := range []string{
+		"", "{}", whole[:len(whole)/2], strings.Replace(whole, `"Active":`, `"Active":[99],"x":`, 1),
+		strings.Replace(whole, `"Open":`, `"Open":[100000],"x":`, 1), strings.Replace(whole, `"Random":"`, `"Random":"AA`, 1),
+	} {
+		if _, err := Carried(w.cfg, 1, []byte(text)); err == nil {
+			t.Errorf("%.40q was taken", text)
+		}
+	}
+}
--- a/choice/checker_test.go
+++ b/choice/checker_test.go
@@ -30,6 +30,9 @@
 	wakes   []time.Duration
 	log     []string
 	batched map[string]int
+	byHand  map[string]bool // endpoints that operators have taken out
+	every   int             // the sender is carried over before each so many steps; 0 for never
+	steps   int
 }
 
 type told struct {
@@ -58,6 +61,7 @@
 	return &story{
 		t: t, cfg: cfg, s: New(cfg, seed), now: time.Hour, msgs: map[string]*told{}, eps: map[string]*place{},
 		waits: map[string]time.Duration{}, rests: map[string]time.Duration{}, out: map[attempt]*flight{},
+		byHand: map[string]bool{},
 	}
 }
 
@@ -87,6 +91,10 @@
 			for _, en := range e.Entries {
 				w.eps[en.Endpoint] = &place{en, en.Phase != Ready}
 			}
+		case Disabled:
+			w.byHand[e.Endpoint] = true
+		case Enabled:
+			delete(w.byHand, e.Endpoint)
 		case Arrived:
 			m := &told{Arrived: e}
 			if e.Class >= 0 && e.Class < len(w.cfg.Classes) {
@@ -129,6 +137,15 @@
 		f() // stricter than the rule: the reply to the batch that told a wait heeds it too
 	}
 	w.batched = map[string]int{}
+	if w.steps++; w.every > 0 && w.steps%w.every == 0 {
+		raw, err := w.s.Carry()
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		if w.s, err = Carried(w.cfg, 0, raw); err != nil {
+			w.t.Fatal(err)
+		}
+	}
 	for _, a := range w.s.Step(w.now, events) {
 		w.check(a)
 	}
@@ -186,6 +203,8 @@
 		w.t.Fatalf("%v: sent %s, which is over or unknown", w.now, a.ID)
 	case p == nil || p.Dest != m.Dest:
 		w.t.Fatalf("%v: sent %s to %s, not of its destination", w.now, a.ID, a.Endpoint)
+	case w.byHand[a.Endpoint]:
+		w.t.Fatalf("%v: sent to %s, which operators have taken out", w.now, a.Endpoint)
 	case p.closed:
 		w.t.Fatalf("%v: sent to drained endpoint %s", w.now, a.Endpoint)
 	case w.now < w.waits[w.route(a.Endpoint)]:
@@ -319,6 +338,11 @@
 
 // randomStory plays thousands of steps of anything at all; the checker watches.
 func randomStory(t testing.TB, seed uint64, steps int) *story {
+	return carriedStory(t, seed, steps, 0)
+}
+
+// carriedStory does, and carries the sender over now and then.
+func carriedStory(t testing.TB, seed uint64, steps, every int) *story {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	cfg := settings()
 	pick := func(p float64) bool { return rng.Float64() < p }
@@ -334,6 +358,7 @@
 		cfg.Tenants = []Tenant{{PerSecond: 3}, {PerSecond: 1}}
 	}
 	w := newStory(t, cfg, seed)
+	w.every = every
 	var all []Entry
 	for i := range 12 {
 		all = append(all, Entry{Endpoint: fmt.Sprint("e", i), Dest: i % 5, Kind: i % 5 % 3, Zone: i % 2, Weight: 8})
@@ -384,6 +409,11 @@
 		if pick(0.005) {
 			events = append(events, list(all[rng.IntN(6):]...))
 		}
+		if id := fmt.Sprint("e", rng.IntN(12)); pick(0.01) {
+			events = append(events, Disabled{id})
+		} else if pick(0.02) {
+			events = append(events, Enabled{id})
+		}
 		if pick(0.005) {
 			events = append(events, Listed{Failed: true})
 		}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,8 +71,9 @@
 
 // New returns the decision maker of a delivery node that has just started.
 func New(cfg Settings, seed uint64) *Sender {
+	source := rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)
 	s := &Sender{
-		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		cfg: cfg, source: source, rng: rand.New(source),
 		dests: map[int]*destination{}, eps: map[string]*endpoint{}, msgs: map[string]*message{},
 		lines: map[string][]*message{}, rests: map[string]time.Duration{}, sent: map[attempt]sending{},
 		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{}, out: map[string]bool{},
--- a/choice/state.go
+++ b/choice/state.go
@@ -8,7 +8,8 @@
 // Sender decides for one delivery node.
 type Sender struct {
 	cfg     Settings
-	rng     *rand.Rand
+	source  *rand.PCG
+	rng     *rand.Rand // on source
 	now     time.Duration
 	dests   map[int]*destination
 	order   []*destination // in order of first mention, so that nothing hangs on map order
