Hand the node over to a successor under load

A drain outlasts an upgrade now, also one whose old process is killed; a plain start still begins without.

--- a/choice/carry.go
+++ b/choice/carry.go
@@ -322,5 +322,5 @@
 // WakeAt is the clock time of the wake that is still to come, 0 for none.
 func (s *Sender) WakeAt() time.Duration { return s.wakeAt }
 
-// Holds tells whether a message has no final answer yet.
-func (s *Sender) Holds(id string) bool { return s.msgs[id] != nil }
+// Held lists the messages that have no final answer yet.
+func (s *Sender) Held() []string { return slices.Sorted(maps.Keys(s.msgs)) }
--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"starlingusher/internal/node"
@@ -48,11 +49,8 @@
 			return fmt.Errorf("operators: %w", err)
 		}
 	}
-	n, err := node.New(cfg, log.With("node", cfg.Name))
-	if err != nil {
-		return err
-	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	n := node.New(cfg, log.With("node", cfg.Name))
+	ln, err := listen(cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
@@ -72,3 +70,15 @@
 	}()
 	return n.Run(ctx, ln)
 }
+
+// listen opens the clients' socket, or takes the one that the platform holds and passes on.
+func listen(addr string) (net.Listener, error) {
+	if named := os.Getenv("ROUTER_PASSED_SOCKET"); named != "" {
+		number, err := strconv.Atoi(named)
+		if err != nil || number < 3 {
+			number = 3 // the only one that is ever passed
+		}
+		return node.PassedListener(uintptr(number))
+	}
+	return net.Listen("tcp", addr)
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -55,8 +55,10 @@
 type pool struct {
 	dialTimeout, idleFor time.Duration
 	maxIdle              int
-	places               chan struct{} // one taken for each connection
-	tries                *atomic.Int64 // messages written whole
+	places               chan struct{}   // one taken for each connection
+	tries                *atomic.Int64   // messages written whole
+	sealed               context.Context // ends when nothing new may be written
+	seal                 context.CancelFunc
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by endpoint; the last one was used last
@@ -78,8 +80,9 @@
 	if dialTimeout <= 0 {
 		dialTimeout = time.Second
 	}
+	sealed, seal := context.WithCancel(context.Background())
 	return &pool{
-		dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
+		sealed: sealed, seal: seal, dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
 		places: make(chan struct{}, most), tries: tries, idle: map[string][]*conn{},
 	}
 }
@@ -98,15 +101,20 @@
 	k := p.take(c.endpoint)
 	reused := k != nil
 	if !reused {
-		if !p.place(ctx) {
+		dialing, cancel := context.WithCancel(ctx)
+		defer context.AfterFunc(p.sealed, cancel)()
+		defer cancel()
+		if !p.place(dialing) {
 			return result{outcome: choice.Stale}
 		}
-		if k, err = p.dial(ctx, c.endpoint.addr); err != nil {
+		if k, err = p.dial(dialing, c.endpoint.addr); err != nil && p.sealed.Err() != nil {
+			return result{outcome: choice.Stale}
+		} else if err != nil {
 			return result{outcome: choice.NoRoute}
 		}
 	}
 	// A dial takes up to a second; a wait told or a drain heard of meanwhile forbids the first byte.
-	if c.endpoint.closedTo(time.Now()) {
+	if c.endpoint.closedTo(time.Now()) || p.sealed.Err() != nil {
 		p.give(c.endpoint, k)
 		return result{outcome: choice.Stale}
 	}
@@ -331,7 +339,7 @@
 	k.watched = make(chan error, 1)
 	k.limit.N = 1
 	p.mu.Lock()
-	if p.size >= p.maxIdle || k.SetReadDeadline(time.Now().Add(p.idleFor)) != nil {
+	if p.size >= p.maxIdle || p.sealed.Err() != nil || k.SetReadDeadline(time.Now().Add(p.idleFor)) != nil {
 		p.mu.Unlock()
 		k.Close()
 		return
@@ -362,8 +370,9 @@
 	delete(p.idle, id)
 }
 
-// close closes all kept connections.
+// close closes all kept connections, and keeps none from now on.
 func (p *pool) close() {
+	p.seal()
 	p.mu.Lock()
 	ids := make([]string, 0, len(p.idle))
 	for id := range p.idle {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -27,6 +27,8 @@
 	maxLine    = 512     // a length line, or an inline command
 	maxSkipped = 1 << 20 // of a body that is too large, so that the connection stays of use
 	maxLife    = 24 * time.Hour
+	maxTape    = maxBody + maxArgs*maxWord + 8<<10 // more than the largest request that is taken, and what is read ahead
+	movedLine  = "moved"                           // in place of an answer, never written
 
 	// A peer may fall silent for good, and each place it holds is lost to the others. Clients write a request
 	// at once and wait 400 ms for its answer; the platform lets a connection without a request go after 2 s,
@@ -54,10 +56,13 @@
 	refused bool
 	after   time.Duration
 	failed  string
+	moved   bool // another process of this node answers
 }
 
 func (a answer) line() string {
 	switch {
+	case a.moved:
+		return movedLine
 	case a.failed != "":
 		return "-ERR " + a.failed + "\r\n"
 	case a.refused && a.after >= time.Millisecond:
@@ -217,8 +222,10 @@
 	mu     sync.Mutex
 	open   map[net.Conn]*peer
 	closed bool
-	drains *time.Timer // set while the node is drained: when it goes off, connections end between requests
-	sends  bool        // it has gone off
+	paused chan struct{}                     // closed when connections are accepted again; nil while they are
+	moveTo func(net.Conn, movedClient) error // passes a connection to the process that owns the node; nil in that
+	drains *time.Timer                       // set while the node is drained: when it goes off, connections end between requests
+	sends  bool                              // it has gone off
 	wg     sync.WaitGroup
 }
 
@@ -237,37 +244,137 @@
 	}
 }
 
-// serve accepts connections until the listener is closed. With all places taken, a newcomer gets that of the
-// connection which has stood longest between requests.
+// serve accepts connections until the listener is closed, but while it is paused.
 func (c *clients) serve(ctx context.Context) {
 	defer close(c.served)
 	for {
+		if !c.wait() {
+			return
+		}
 		nc, err := c.ln.Accept()
 		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) { // called back by pause
+				continue
+			}
 			if errors.Is(err, net.ErrClosed) || !sleep(ctx, firstBackoff) { // out of descriptors, most likely
 				return
 			}
 			continue
 		}
+		now := time.Now()
+		if !c.admit(nc, movedClient{Since: now.UnixNano()}) {
+			return
+		}
+	}
+}
+
+// admit serves a connection. With all places taken, a newcomer gets that of the connection which has stood longest
+// between requests.
+func (c *clients) admit(nc net.Conn, m movedClient) bool {
+	select {
+	case c.room <- struct{}{}:
+	default:
+		c.evict()
 		select {
 		case c.room <- struct{}{}:
-		default:
-			c.evict()
-			select {
-			case c.room <- struct{}{}:
-			case <-c.stop:
-				nc.Close()
-				return
-			}
+		case <-c.stop:
+			nc.Close()
+			return false
 		}
-		c.mu.Lock()
-		c.open[nc] = &peer{idle: true, since: time.Now()}
-		c.mu.Unlock()
-		c.wg.Go(func() {
-			defer func() { <-c.room }()
-			c.serveConn(nc)
-		})
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		<-c.room
+		nc.Close()
+		return false
+	}
+	c.open[nc] = &peer{idle: true, since: time.Unix(0, m.Since), asked: m.Came > 0}
+	c.wg.Go(func() {
+		defer func() { <-c.room }()
+		c.serveConn(nc, m)
+	})
+	return true
+}
+
+// adopt serves a connection that another process of this node has accepted.
+func (c *clients) adopt(nc net.Conn, m movedClient) {
+	m.Came = max(m.Came, 1) // it is no newcomer
+	c.admit(nc, m)
+}
+
+// pause accepts nothing until resume: newcomers stay in the socket's queue, which other processes serve.
+func (c *clients) pause() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.paused == nil {
+		c.paused = make(chan struct{})
+		if d, ok := c.ln.(interface{ SetDeadline(time.Time) error }); ok {
+			d.SetDeadline(time.Unix(1, 0)) // an error means that it is closed
+		}
+	}
+}
+
+// resume ends a pause, and the moving of connections.
+func (c *clients) resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.moveTo = nil; c.paused != nil {
+		if d, ok := c.ln.(interface{ SetDeadline(time.Time) error }); ok {
+			d.SetDeadline(time.Time{})
+		}
+		close(c.paused)
+		c.paused = nil
+	}
+}
+
+// wait waits for the end of a pause and tells whether there is more to accept.
+func (c *clients) wait() bool {
+	c.mu.Lock()
+	paused := c.paused
+	c.mu.Unlock()
+	if paused != nil {
+		select {
+		case <-paused:
+		case <-c.stop:
+			return false
+		}
+	}
+	return true
+}
+
+// move passes each connection to another process of this node, as soon as it stands between requests or its request
+// is found to be that process's to answer.
+func (c *clients) move(to func(net.Conn, movedClient) error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.moveTo = to
+	c.callBackIdle()
+}
+
+// moved passes one connection on, and tells whether that is done. If it can't be, the process at the other end is
+// gone, and none is moved any more.
+func (c *clients) moved(nc net.Conn, t *tape, since, came time.Time) bool {
+	c.mu.Lock()
+	to := c.moveTo
+	c.mu.Unlock()
+	if to == nil {
+		return false
+	}
+	if to(nc, movedClient{Raw: t.unanswered(), Since: since.UnixNano(), Came: came.UnixNano()}) == nil {
+		return true
+	}
+	c.mu.Lock()
+	c.moveTo = nil
+	c.mu.Unlock()
+	return false
+}
+
+// count is the number of open connections.
+func (c *clients) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
 }
 
 // evict calls back the connection that has stood longest between requests, if there is one.
@@ -295,7 +402,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.open[nc]
-	if idle && (c.closed || p.evicted || (c.sends && p.asked)) {
+	if idle && (c.closed || p.evicted || (c.sends && p.asked) || c.moveTo != nil) {
 		return false
 	}
 	p.idle, p.since, p.asked = idle, since, p.asked || !idle
@@ -352,24 +459,40 @@
 	}
 }
 
-func (c *clients) serveConn(nc net.Conn) {
+func (c *clients) serveConn(nc net.Conn, m movedClient) {
 	defer func() {
 		c.mu.Lock()
 		delete(c.open, nc)
 		c.mu.Unlock()
 		nc.Close()
 	}()
-	r := bufio.NewReaderSize(nc, 4096)
-	since := time.Now()
+	t := &tape{src: nc, again: m.Raw}
+	r := bufio.NewReaderSize(t, 4096)
+	since, came := time.Unix(0, m.Since), time.Time{}
+	if len(m.Raw) > 0 {
+		came = time.Unix(0, m.Came)
+	}
 	for {
+		t.restart(r)
 		// In this order: idle connections are called back by their deadline.
-		if nc.SetDeadline(since.Add(idleTimeout)) != nil || (r.Buffered() == 0 && !c.mark(nc, true, since)) {
+		if nc.SetDeadline(since.Add(idleTimeout)) != nil {
 			return
 		}
+		if r.Buffered() == 0 && len(t.again) == 0 && !c.mark(nc, true, since) {
+			if !c.moving() || c.moved(nc, t, since, came) {
+				return
+			}
+			continue
+		}
 		if _, err := r.Peek(1); err != nil && !lastLook(nc, r, err) {
-			return
+			if !c.moving() || !errors.Is(err, os.ErrDeadlineExceeded) || c.moved(nc, t, since, came) {
+				return
+			}
+			continue
+		}
+		if came.IsZero() {
+			came = time.Now()
 		}
-		came := time.Now()
 		c.mark(nc, false, since)
 		if nc.SetDeadline(came.Add(requestTimeout)) != nil {
 			return
@@ -378,9 +501,17 @@
 		var line string
 		switch {
 		case err == nil && len(args) == 0:
+			came = time.Time{}
 			continue // no request: the connection is as idle as before
 		case err == nil:
-			line = c.command(args, came)
+			reply := c.command(args, came)
+			for reply == movedLine {
+				if c.moved(nc, t, since, came) {
+					return
+				}
+				reply = c.command(args, came)
+			}
+			line = reply
 		case errors.Is(err, errTooLarge):
 			line = answer{failed: err.Error()}.line()
 		case errors.Is(err, errProtocol):
@@ -397,10 +528,50 @@
 		if _, err := io.WriteString(nc, line); err != nil {
 			return
 		}
-		since = time.Now()
+		since, came = time.Now(), time.Time{}
+	}
+}
+
+// moving tells that connections go to another process.
+func (c *clients) moving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.moveTo != nil
+}
+
+// tape reads a connection and keeps what it has read since the last answer, so that another process can read that
+// again.
+type tape struct {
+	src   io.Reader
+	again []byte // read before anything of src
+	kept  []byte
+}
+
+func (t *tape) Read(p []byte) (n int, err error) {
+	if len(t.again) > 0 {
+		n = copy(p, t.again)
+		t.again = t.again[n:]
+	} else {
+		n, err = t.src.Read(p)
 	}
+	if len(t.kept) <= maxTape { // past that it is a request that gets its answer here
+		t.kept = append(t.kept, p[:n]...)
+	}
+	return n, err
 }
 
+// restart begins anew with what the reader has read ahead.
+func (t *tape) restart(r *bufio.Reader) {
+	ahead, _ := r.Peek(r.Buffered()) // no more than there is, and so no error
+	t.kept = append(t.kept[:0], ahead...)
+	if cap(t.kept) > maxTape/16 && len(ahead) == 0 {
+		t.kept = nil // an idle connection keeps no large buffer
+	}
+}
+
+// unanswered is all that has been read, and is to be read again, of requests without an answer.
+func (t *tape) unanswered() []byte { return slices.Concat(t.kept, t.again) }
+
 // command answers one command.
 func (c *clients) command(args [][]byte, came time.Time) string {
 	switch strings.ToUpper(string(args[0])) {
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -233,7 +233,7 @@
 				began := time.Now()
 				var acting sync.WaitGroup
 				acting.Go(func() { act(far) })
-				c.serveConn(near)
+				c.serveConn(near, movedClient{Since: time.Now().UnixNano()})
 				if took := time.Since(began); took > 2900*time.Millisecond {
 					t.Errorf("closed after %s", took)
 				}
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -172,7 +172,7 @@
 
 // tellOrder hands an order to the loop and waits until it holds.
 func (n *Node) tellOrder(ctx context.Context, o order) error {
-	if !n.serving.Load() {
+	if !n.serving.Load() && !n.passing.Load() {
 		return errNotServing
 	}
 	o.done = make(chan error, 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,9 +5,9 @@
 	"errors"
 	"hash/fnv"
 	"log/slog"
-	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -38,11 +38,12 @@
 
 // outCall is a call that is out.
 type outCall struct {
-	m      *past
-	cancel context.CancelFunc
+	m        *past
+	endpoint *endpoint // nil for a call of the process that has handed over to this one
+	cancel   context.CancelFunc
 }
 
-// Node is a delivery node. One goroutine, in loop, owns all that is not said to be shared.
+// Node is a delivery node. One goroutine, in Run, owns all that is not said to be shared.
 type Node struct {
 	cfg       Config
 	log       *slog.Logger
@@ -51,16 +52,22 @@
 	pool      *pool
 	client    *http.Client
 	discovery *discovery // shared
+	lock      *os.File   // this process owns the node while it has it
 	orders    *orders
 	clients   *clients    // shared
 	figures   *figures    // shared
 	serving   atomic.Bool // shared: the loop runs
+	passing   atomic.Bool // shared: a successor owns the node
 	start     time.Time
 	events    chan any
 	notices   chan []notice
+	asks      chan *link       // of processes that want to own the node
 	messages  map[string]*past // all in the journal, by id
 	out       map[attempt]outCall
+	remote    int // of those, calls of the process that has handed over
 	eps       map[string]*endpoint
+	members   map[string]member     // the list as it is known
+	revision  int64                 // of it
 	waits     map[int]*atomic.Int64 // of destinations whose endpoints share them
 	owed      []notice              // not yet handed to the reporter
 	named     map[string]bool       // endpoints that a list has ever named
@@ -93,28 +100,22 @@
 	}
 )
 
-// New loads the journal. Its folder must be the node's alone.
-func New(cfg Config, log *slog.Logger) (*Node, error) {
-	j, err := openJournal(cfg.State, cfg.Limits.DiskMB)
-	if err != nil {
-		return nil, err
-	}
-	o, err := readOrders(cfg.State)
-	if err != nil {
-		return nil, errors.Join(err, j.close())
-	}
-	if err := o.setDrained(false); err != nil { // a drain is the running node's: it ends with a restart
-		return nil, errors.Join(err, j.close())
-	}
-	figures := newFigures(cfg.Names.Classes)
+// New makes a node that Run brings to life. Its folder must be the node's alone.
+func New(cfg Config, log *slog.Logger) *Node {
 	return &Node{
-		cfg: cfg, log: log, journal: j, orders: o, figures: figures, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
-		pool:      newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8), callPlaces(cfg.Limits.Sockets), &figures.tries),
+		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
+		figures:   newFigures(cfg.Names.Classes),
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
 		discovery: newDiscovery(cfg.Discovery),
-		events:    make(chan any, eventQueue), notices: make(chan []notice), messages: map[string]*past{},
-		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{}, dests: map[int]bool{}, named: map[string]bool{},
-	}, nil
+		events:    make(chan any, eventQueue), notices: make(chan []notice), asks: make(chan *link),
+		messages: map[string]*past{}, out: map[attempt]outCall{}, eps: map[string]*endpoint{},
+		waits: map[int]*atomic.Int64{}, dests: map[int]bool{}, named: map[string]bool{},
+	}
+}
+
+func (n *Node) newPool() *pool {
+	s, most := n.cfg.Settings, n.cfg.Limits.Sockets
+	return newPool(s.DialTimeout, s.ConnIdle, max(most/4, 8), callPlaces(most), &n.figures.tries)
 }
 
 // callPlaces is how many descriptors calls may take: clients have a third, and the rest is set aside for the door,
@@ -138,78 +139,118 @@
 
 func (n *Node) wall(d time.Duration) time.Time { return n.start.Add(d - epoch) }
 
-// Run serves clients on ln until ctx ends; then it finishes or leaves to the journal what it holds.
+// Run serves clients on ln until ctx ends; then it finishes or leaves to the journal what it holds. If another
+// process owns the node, it asks that to hand over, and it hands over itself when asked.
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
 	// The parts outlive ctx by the time that it takes to leave.
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	n.step(life, n.replayed(), nil)
-
 	var parts sync.WaitGroup
-	parts.Go(func() {
-		watch(life, n.log, n.client, n.discovery, n.cfg.Known.Revision, func(l list) { n.tell(life, l) })
-	})
-	parts.Go(func() {
-		report(life, n.log, n.client, n.discovery, n.notices, func(b []notice) { n.tell(life, settled(b)) })
-	})
 	n.clients = newClients(ln, n.cfg.Limits.Sockets/3, n.cfg.Names, func(q request) answer { return n.hand(life, q) })
+	n.clients.pause()
 	parts.Go(func() { n.clients.serve(life) })
 	gone := make(chan struct{})
 	parts.Go(func() {
 		defer close(gone)
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-life.Done():
+		}
 		sleep(life, holdAfter)
 		n.tell(life, choice.Leaving{})
 		sleep(life, leaveAfter-holdAfter)
 		n.clients.close() // those inside a request get their answers from the loop, which still runs
 	})
+	defer parts.Wait()
+	defer cancel()
+
+	var unheard []called
+	for ask := true; ; ask = false {
+		c, err := claimNode(ctx, n.cfg.State, ask)
+		if ctx.Err() != nil && err != nil {
+			return nil // a stand-by, or one that never came to serve
+		}
+		if err != nil {
+			return err
+		}
+		successor, err := n.own(life, c, unheard, gone)
+		if err != nil || successor == nil {
+			return err
+		}
+		n.log.Info("handed over", "out", len(n.out))
+		n.clients.move(func(nc net.Conn, m movedClient) error { return moveClient(successor, nc, m) })
+		n.passing.Store(true)
+		var left bool
+		unheard, left = n.relay(ctx, successor, gone)
+		n.passing.Store(false)
+		if left {
+			return nil
+		}
+		n.log.Error("the successor is gone")
+	}
+}
+
+// own serves with the claim until the process may end, or until a successor owns the node.
+func (n *Node) own(life context.Context, c claim, unheard []called, gone <-chan struct{}) (successor *link, err error) {
+	defer func() { err = errors.Join(err, c.lock.Close()) }() // a successor holds it by a descriptor of its own
+	n.lock = c.lock
+	events, err := n.begin(c, unheard)
+	if err != nil {
+		if c.from != nil {
+			c.from.close()
+		}
+		return nil, err
+	}
+	var parts sync.WaitGroup
+	term, end := context.WithCancel(life)
+	defer parts.Wait()
+	defer end()
+	n.step(life, events, nil)
+	parts.Go(func() {
+		watch(term, n.log, n.client, n.discovery, n.revision, func(l list) { n.tell(term, l) })
+	})
+	parts.Go(func() {
+		report(term, n.log, n.client, n.discovery, n.notices, func(b []notice) { n.tell(term, settled(b)) })
+	})
+	if ln, err := listenForSuccessor(n.cfg.State); err != nil {
+		n.log.Error("no successor can take over from this process", "err", err)
+	} else {
+		parts.Go(func() { n.successors(term, ln) })
+		defer ln.Close()
+	}
+	if c.from != nil {
+		parts.Go(func() { n.predecessor(term, c.from) })
+		defer c.from.close()
+	}
+	n.clients.drain(n.orders.drained)
+	n.clients.resume()
 	n.serving.Store(true)
-	n.loop(life, gone)
+	successor = n.loop(life, gone)
 	n.serving.Store(false)
+	if successor != nil {
+		n.clients.pause()
+		n.held = 0 // the successor's figure now
+		n.publish()
+		n.client.CloseIdleConnections()
+		return successor, n.journal.close()
+	}
 
-	for _, c := range n.out {
-		c.cancel()
+	for _, o := range n.out {
+		o.cancel()
 	}
-	for len(n.out) > 0 { // each call that is called off ends by an event
+	for len(n.out) > n.remote { // each call that is called off ends by an event
 		n.take(life, []any{<-n.events})
 	}
-	cancel()
+	end()
 	n.calls.Wait()
 	n.pool.close()
-	parts.Wait()
 	n.client.CloseIdleConnections()
-	return n.journal.close()
+	return nil, n.journal.close()
 }
 
 // Reload takes from a configuration that has replaced the old one what may change while the node runs: the
 // address of discovery. It may be called at any time, from any goroutine.
 func (n *Node) Reload(cfg Config) { n.discovery.move(cfg.Discovery) }
 
-// replayed makes the first events: the list as it was last known, and what the journal says is still owed.
-func (n *Node) replayed() []choice.Event {
-	known := n.cfg.Known
-	known.Complete = true
-	events := []choice.Event{n.listed(known)}
-	for _, id := range slices.Sorted(maps.Keys(n.orders.out)) {
-		events = append(events, choice.Disabled{Endpoint: id})
-	}
-	// In the order in which they were taken on.
-	for _, seq := range slices.Sorted(maps.Keys(n.journal.live)) {
-		p := n.journal.live[seq]
-		n.messages[p.id] = p
-		if p.ended != nil {
-			n.owed = append(n.owed, newNotice(p))
-			continue
-		}
-		n.held++
-		events = append(events, n.resumed(p))
-	}
-	if len(n.messages) > 0 {
-		n.log.Info("journal replayed", "resumed", n.held, "notices", len(n.owed))
-	}
-	return events
-}
-
 // resumed tells the module of a message's past. An attempt that is not proven not to have run may have.
 func (n *Node) resumed(p *past) choice.Resumed {
 	r := choice.Resumed{Arrived: n.arrived(p, p.deadline), Attempts: len(p.sends)}
@@ -248,8 +289,8 @@
 	}
 }
 
-// loop batches what has come and steps through it, until the node has left.
-func (n *Node) loop(ctx context.Context, gone <-chan struct{}) {
+// loop batches what has come and steps through it, until the node has left or a successor owns it.
+func (n *Node) loop(ctx context.Context, gone <-chan struct{}) (successor *link) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -266,8 +307,13 @@
 		case notices <- n.owed:
 			n.owed = nil
 			continue
+		case l := <-n.asks:
+			if n.handOver(l) {
+				return l
+			}
+			continue
 		case <-gone:
-			return
+			return nil
 		}
 		for more := true; more && len(batch) < maxBatch; {
 			select {
@@ -303,6 +349,10 @@
 			events = append(events, n.listed(e))
 		case called:
 			events = append(events, n.called(e))
+		case endedCall:
+			events = append(events, n.called(n.remoteEnded(e)))
+		case orphaned:
+			events = append(events, n.orphans()...)
 		case settled:
 			for _, s := range e {
 				n.forget(s.of)
@@ -412,11 +462,17 @@
 
 // listed brings the endpoints up to date. Calls that have not written their first byte hear of it by shut.
 func (n *Node) listed(l list) choice.Listed {
+	if n.revision = l.Revision; l.Complete || n.members == nil {
+		n.members = map[string]member{}
+	}
 	l.Members = slices.DeleteFunc(l.Members, func(m member) bool { return m.ID == "" })
 	entries := l.entries(n.cfg.Names)
 	named := map[string]bool{}
 	for i, m := range l.Members {
 		named[m.ID] = true
+		if n.members[m.ID] = m; entries[i].Phase == choice.Gone {
+			delete(n.members, m.ID)
+		}
 		n.dests[m.Cell] = true
 		n.named[m.ID] = true
 		e := n.eps[m.ID]
@@ -460,8 +516,14 @@
 
 // called notes the outcome of a call.
 func (n *Node) called(e called) choice.Event {
-	m := n.out[e.attempt].m
-	delete(n.out, e.attempt)
+	o, ok := n.out[e.attempt]
+	if !ok {
+		return nil // a predecessor told of it, and then was gone
+	}
+	m := o.m
+	if delete(n.out, e.attempt); o.endpoint == nil {
+		n.remote--
+	}
 	switch e.outcome {
 	case choice.Pass:
 	case choice.NoRoom, choice.NoRoute, choice.Stale:
@@ -571,16 +633,17 @@
 		e = &endpoint{id: a.Endpoint, wait: new(atomic.Int64)}
 		e.shut.Store(true)
 	}
+	pool := n.pool
 	name, now := attempt{a.ID, len(p.sends)}, time.Now()
 	n.journal.add(attemptRecord(p.seq, now, e.zone))
 	c := call{id: p.id, key: p.key, body: p.body, endpoint: e, notPast: n.wall(a.NotPast)}
 	n.acts = append(n.acts, func() {
 		ctx, cancel := context.WithCancel(ctx)
-		n.out[name] = outCall{p, cancel}
+		n.out[name] = outCall{p, e, cancel}
 		n.calls.Go(func() {
 			defer cancel()
 			began := time.Now()
-			res := n.pool.do(ctx, c)
+			res := pool.do(ctx, c)
 			// Not by tell: the loop takes every call's end, also while the node leaves.
 			n.events <- called{name, e, res, time.Since(began)}
 		})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -171,10 +171,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := New(cfg, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
+	n := New(cfg, slog.New(slog.DiscardHandler))
 	shut := n.ServeOperators(doorLn)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -390,10 +387,7 @@
 	if err != nil {
 		return err
 	}
-	n, err := New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err != nil {
-		return err
-	}
+	n := New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return err
