Accept on the passed socket whatever flags other processes set on it, and test upgrades

Seen in the first test with real processes: the parent's start of a second process made the shared socket a blocking one, the old process's accept hung in the kernel, heeded neither the pause nor its end, and the process did not end on SIGTERM. Ruled out: the handover itself (the loop ran, all was handed over) and the move of connections. The flag is now seen to before each accept.

Tests with real processes: a call out and half a request at the handover, load over three upgrades, orders and drain, the old process killed before and after the handover, the new one killed after serving or gone with the state.

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -78,7 +78,7 @@
 		if err != nil || number < 3 {
 			number = 3 // the only one that is ever passed
 		}
-		return node.PassedListener(uintptr(number))
+		return node.PassedListener(number)
 	}
 	return net.Listen("tcp", addr)
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -6,10 +6,8 @@
 	"fmt"
 	"maps"
 	"net"
-	"os"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"starlingusher/choice"
@@ -363,14 +361,3 @@
 	}
 	return sent
 }
-
-// PassedListener is the socket that the platform holds and passes on to each process, or nil if it names none. It is
-// never shut down, for that would end it for every process that has it.
-func PassedListener(number uintptr) (net.Listener, error) {
-	f := os.NewFile(number, "passed socket")
-	if f == nil {
-		return nil, fmt.Errorf("descriptor %d: %w", number, syscall.EBADF)
-	}
-	ln, err := net.FileListener(f)
-	return ln, errors.Join(err, f.Close())
-}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -373,10 +373,14 @@
 
 // TestMain is the node itself when a test starts this binary as a child.
 func TestMain(m *testing.M) {
-	if os.Getenv("CORALYARD_TEST_CHILD") == "" {
+	child := childMain
+	switch os.Getenv("CORALYARD_TEST_CHILD") {
+	case "":
 		os.Exit(m.Run())
+	case "upgrade":
+		child = upgradeMain
 	}
-	if err := childMain(); err != nil {
+	if err := child(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/node/upgrade_test.go
@@ -0,0 +1,457 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// platform holds the clients' socket, as it does in service, and starts processes of one node on it.
+type platform struct {
+	t        *testing.T
+	r        *registry
+	state    string
+	known    []string
+	listener *net.TCPListener
+	passed   *os.File
+}
+
+func newPlatform(t *testing.T, r *registry, known ...string) *platform {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &platform{t: t, r: r, state: t.TempDir(), known: known, listener: ln.(*net.TCPListener)}
+	if p.passed, err = p.listener.File(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { errors.Join(p.passed.Close(), ln.Close()) })
+	return p
+}
+
+func (p *platform) addr() string { return p.listener.Addr().String() }
+
+// process is one process of the node.
+type process struct {
+	*exec.Cmd
+	door  string
+	ended chan struct{}
+	err   error
+}
+
+// start starts a process with more of an environment; its door is open when start returns.
+func (p *platform) start(env ...string) *process {
+	p.t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(append(os.Environ(), "CORALYARD_TEST_CHILD=upgrade", "ROUTER_STATE="+p.state,
+		"ROUTER_CONFIG="+writeConfig(p.t, p.addr(), p.r.addr(), p.known...)), env...)
+	cmd.Stderr = os.Stderr
+	cmd.ExtraFiles = []*os.File{p.passed}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	c := &process{Cmd: cmd, ended: make(chan struct{})}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	c.door = strings.TrimSpace(line)
+	go func() {
+		c.err = cmd.Wait()
+		close(c.ended)
+	}()
+	p.t.Cleanup(func() { c.kill(p.t) })
+	return c
+}
+
+// serve starts a process and waits until it says that it is ready.
+func (p *platform) serve(env ...string) *process {
+	p.t.Helper()
+	c := p.start(env...)
+	eventually(p.t, "it is ready", func() bool { return c.ready(p.t) })
+	return c
+}
+
+func (c *process) ready(t *testing.T) bool {
+	code, _ := operate(t, c.door, "GET", "/ops/readiness")
+	return code == http.StatusNoContent
+}
+
+func (c *process) kill(t *testing.T) {
+	select {
+	case <-c.ended:
+	default:
+		if err := c.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			t.Error(err)
+		}
+		<-c.ended
+	}
+}
+
+// term ends it as the platform does, and wants it to end well.
+func (c *process) term(t *testing.T) {
+	t.Helper()
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-c.ended:
+	case <-time.After(patience):
+		t.Fatal("it does not end")
+	}
+	if c.err != nil {
+		t.Fatal(c.err)
+	}
+}
+
+// upgradeMain is a process of a node that is being upgraded.
+func upgradeMain() error {
+	cfg, err := LoadConfig(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_STATE"))
+	if err != nil {
+		return err
+	}
+	door, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	ln, err := PassedListener(3)
+	if err != nil {
+		return err
+	}
+	n := New(cfg, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	defer n.ServeOperators(door)()
+	fmt.Println(door.Addr())
+	return n.Run(ctx, ln)
+}
+
+// One call is out and messages are held when the successor comes: the call ends at the old process and counts at
+// the new, nothing is sent or taken on twice, and connections go on, whatever has been read of a request.
+func TestUpgradeUnderWay(t *testing.T) {
+	t.Parallel()
+	answer := make(chan struct{})
+	p, r := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
+		<-answer
+		_, err := io.WriteString(nc, delivered)
+		return err == nil
+	}), newRegistry(t)
+	node := newPlatform(t, r, serving("e", p.addr(), 7, "SERVING"), serving("f", "127.0.0.1:9", 8, "DRAINING"))
+	old := node.serve()
+	mustAnswer(t, node.addr(), enqueue("out", ofPayout, ""), "+OK")
+	p.next(t)
+	mustAnswer(t, node.addr(), enqueue("held", "c=payout,d=50000,dest=8", ""), "+OK")
+	idle, idleR := dialTest(t, node.addr())
+	mustSay(t, idle, idleR, resp("PING"), "+PONG")
+	half, halfR := dialTest(t, node.addr())
+	text := enqueue("half", ofStatus, "body")
+	if _, err := io.WriteString(half, text[:30]); err != nil {
+		t.Fatal(err)
+	}
+
+	next := node.serve()
+	if old.ready(t) {
+		t.Error("both say that they serve")
+	}
+	mustSay(t, half, halfR, text[30:], "+OK")
+	mustSay(t, idle, idleR, enqueue("out", ofPayout, ""), "+OK") // taken on before: no second effect
+	mustSay(t, idle, idleR, enqueue("held", "c=payout,d=50000,dest=8", ""), "+OK")
+	mustFigure(t, next.door, "router.active", "3|g")
+	mustFigure(t, old.door, "router.active", "0|g")
+	close(answer)
+	if got := p.next(t).Header.Get("X-Trace-Id"); got != "half" {
+		t.Errorf("got a call for %q", got)
+	}
+	mustFigure(t, next.door, "router.ok.payout", "1|c")
+	mustFigure(t, next.door, "router.ok.status", "1|c")
+	old.term(t)
+	mustSay(t, idle, idleR, resp("PING"), "+PONG")
+	mustSay(t, half, halfR, resp("PING"), "+PONG")
+	r.tell(listOf(2, false, serving("f", p.addr(), 8, "SERVING")))
+	if got := p.next(t).Header.Get("X-Trace-Id"); got != "held" {
+		t.Errorf("got a call for %q", got)
+	}
+	if calls, _ := p.counts(); calls != 3 {
+		t.Errorf("%d calls for 3 messages", calls)
+	}
+	mustFigure(t, next.door, "router.ok.payout", "2|c")
+	mustFigure(t, next.door, "router.errors.payout", "0|c")
+	mustFigure(t, next.door, "router.active", "0|g")
+}
+
+// Clients go on handing in messages over several upgrades: none is turned away or unheard, each is delivered once.
+func TestUpgradesUnderLoad(t *testing.T) {
+	t.Parallel()
+	p, r := newPartner(t, says(delivered)), newRegistry(t)
+	node := newPlatform(t, r, serving("e", p.addr(), 7, "SERVING"))
+	process := node.serve()
+	stop := make(chan struct{})
+	go func() { // the endpoint waits for whoever takes note of its calls
+		for {
+			select {
+			case <-p.came:
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	var load sync.WaitGroup
+	sent := make([]int, 4)
+	for w := range sent {
+		load.Go(func() {
+			nc, br := dialTest(t, node.addr())
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if _, err := io.WriteString(nc, enqueue(fmt.Sprint(w, "-", sent[w]), ofPayout, "body")); err != nil {
+					t.Error(err)
+					return
+				}
+				switch line, err := br.ReadString('\n'); {
+				case err != nil:
+					t.Error(err)
+					return
+				case line == "+OK\r\n":
+					sent[w]++
+				case !strings.HasPrefix(line, "-BUSY"): // no room for more: it comes again under the same id
+					t.Errorf("got %q", line)
+				}
+			}
+		})
+	}
+	for range 3 {
+		next := node.serve()
+		process.term(t)
+		process = next
+	}
+	close(stop)
+	load.Wait()
+	total := 0
+	for _, n := range sent {
+		total += n
+	}
+	mustFigure(t, process.door, "router.active", "0|g")
+	eventually(t, "all is delivered", func() bool { calls, _ := p.counts(); return calls >= total })
+	seen := map[string]bool{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, req := range p.calls {
+		id := req.Header.Get("X-Trace-Id")
+		if seen[id] {
+			t.Errorf("%s was sent twice", id)
+		}
+		seen[id] = true
+	}
+	if len(seen) != total || total == 0 {
+		t.Errorf("%d of %d were sent", len(seen), total)
+	}
+}
+
+// What operators have told outlasts an upgrade, a drain too; orders reach the node at either door.
+func TestOrdersOutlastAnUpgrade(t *testing.T) {
+	t.Parallel()
+	p, r := newPartner(t, says(delivered)), newRegistry(t)
+	node := newPlatform(t, r, serving("e", p.addr(), 7, "SERVING"))
+	old := node.serve()
+	mustOperate(t, old.door, "PUT", "/ops/endpoints/down?id=e", 204)
+	mustOperate(t, old.door, "PUT", "/ops/drain/start", 204)
+	next := node.serve()
+	mustFigure(t, next.door, "router.pool_ejected", "1|g")
+	if got := ask(t, node.addr(), resp("PING")); got == "+PONG" {
+		t.Error("the drain is lost")
+	}
+	mustOperate(t, old.door, "PUT", "/ops/endpoints/up?id=nobody", 404)
+	mustOperate(t, old.door, "PUT", "/ops/drain/stop", 204)
+	mustAnswer(t, node.addr(), resp("PING"), "+PONG")
+	mustAnswer(t, node.addr(), enqueue("a", ofStatus, ""), "+OK")
+	if calls, _ := p.counts(); calls != 0 {
+		t.Errorf("%d calls at an endpoint that is out", calls)
+	}
+	mustOperate(t, old.door, "PUT", "/ops/endpoints/up?id=e", 204)
+	p.next(t)
+	old.term(t)
+}
+
+// The old process is killed, with a call out, before or after the handover: the message that may not be repeated
+// fails, the one that may is sent again, and the drain holds.
+func TestOldProcessIsKilled(t *testing.T) {
+	t.Parallel()
+	for _, after := range []bool{false, true} {
+		t.Run(fmt.Sprint("after the handover ", after), func(t *testing.T) {
+			t.Parallel()
+			p, r := newPartner(t, silent), newRegistry(t)
+			node := newPlatform(t, r, serving("e", p.addr(), 7, "SERVING"))
+			old := node.serve()
+			mustAnswer(t, node.addr(), enqueue("unsafe", ofPayout, ""), "+OK")
+			p.next(t)
+			mustAnswer(t, node.addr(), enqueue("safe", ofStatus, ""), "+OK")
+			p.next(t)
+			mustOperate(t, old.door, "PUT", "/ops/drain/start", 204)
+			var next *process
+			if after {
+				next = node.serve()
+				old.kill(t)
+			} else {
+				if err := old.Process.Signal(syscall.SIGSTOP); err != nil { // it can't hand over any more
+					t.Fatal(err)
+				}
+				next = node.start()
+				if next.ready(t) {
+					t.Fatal("ready while another process owns the node")
+				}
+				old.kill(t)
+				eventually(t, "it is ready", func() bool { return next.ready(t) })
+			}
+			eventually(t, "the failure is told", func() bool { return r.state("unsafe") == "failed" })
+			if got := p.next(t).Header.Get("X-Trace-Id"); got != "safe" {
+				t.Errorf("got a call for %q", got)
+			}
+			if got := ask(t, node.addr(), resp("PING")); got == "+PONG" {
+				t.Error("the drain is lost")
+			}
+			mustFigure(t, next.door, "router.errors.payout", "1|c")
+		})
+	}
+}
+
+// The new process ends, having served for a while or in the middle of the handover: the old one goes on.
+func TestNewProcessFails(t *testing.T) {
+	t.Parallel()
+	p, r := newPartner(t, says(delivered)), newRegistry(t)
+	node := newPlatform(t, r, serving("e", p.addr(), 7, "SERVING"), serving("f", "127.0.0.1:9", 8, "DRAINING"))
+	old := node.serve()
+	mustAnswer(t, node.addr(), enqueue("a", "c=payout,d=50000,dest=8", ""), "+OK")
+
+	// One that takes the state and is gone.
+	c, err := askOwner(t.Context(), node.state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(c.from.close(), c.lock.Close()); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the old one serves again", func() bool { return old.ready(t) })
+	mustAnswer(t, node.addr(), enqueue("b", "c=payout,d=50000,dest=8", ""), "+OK")
+
+	next := node.serve()
+	mustAnswer(t, node.addr(), enqueue("c", ofPayout, ""), "+OK")
+	p.next(t)
+	mustOperate(t, next.door, "PUT", "/ops/endpoints/down?id=e", 204)
+	next.kill(t)
+	eventually(t, "the old one serves again", func() bool { return old.ready(t) })
+	mustAnswer(t, node.addr(), enqueue("a", "c=payout,d=50000,dest=8", ""), "+OK") // still known
+	mustAnswer(t, node.addr(), enqueue("d", ofPayout, ""), "+OK")                  // for an endpoint that is out
+	mustFigure(t, old.door, "router.active", "3|g")
+	r.tell(listOf(2, false, serving("f", p.addr(), 8, "SERVING")))
+	seen := map[string]bool{}
+	for range 2 {
+		seen[p.next(t).Header.Get("X-Trace-Id")] = true
+	}
+	mustOperate(t, old.door, "PUT", "/ops/endpoints/up?id=e", 204)
+	seen[p.next(t).Header.Get("X-Trace-Id")] = true
+	if calls, _ := p.counts(); len(seen) != 3 || seen["c"] || calls != 4 {
+		t.Errorf("sent afterwards: %v, of %d calls", seen, calls)
+	}
+	old.term(t)
+}
+
+// A plain start on a folder whose path is too long for a socket's address is able to hand over as well.
+func TestLongPathOfState(t *testing.T) {
+	t.Parallel()
+	dir := filepath.Join(t.TempDir(), strings.Repeat("long", 40))
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := listenForSuccessor(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	path, done, err := socketPath(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer done()
+	nc, err := net.Dial("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc.Close()
+}
+
+// Another process that has the socket may make it a blocking one at any moment: an accept still heeds a pause and a
+// close, and closing it here does not end it there.
+func TestPassedListenerIsNeverStuck(t *testing.T) {
+	node := newPlatform(t, newRegistry(t))
+	number, err := syscall.Dup(int(node.passed.Fd())) // Fd makes it blocking
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := PassedListener(number)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial := func() {
+		t.Helper()
+		nc, err := net.Dial("tcp", node.addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+	}
+	for range 2 {
+		dial()
+		node.passed.Fd()
+		nc, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.Close()
+	}
+	failed := make(chan error)
+	accept := func() {
+		_, err := ln.Accept()
+		failed <- err
+	}
+	node.passed.Fd()
+	go accept()
+	if err := ln.(*passedListener).SetDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-failed; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %v", err)
+	}
+	if err := ln.(*passedListener).SetDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	go accept()
+	if err := ln.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-failed; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("got %v", err)
+	}
+	dial() // the platform still has it
+}
