--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,7 +76,8 @@
 		cfg: cfg, source: source, rng: rand.New(source),
 		dests: map[int]*destination{}, eps: map[string]*endpoint{}, msgs: map[string]*message{},
 		lines: map[string][]*message{}, rests: map[string]time.Duration{}, sent: map[attempt]sending{},
-		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{}, out: map[string]bool{},
+		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{},
+		out: map[string]bool{},
 	}
 	s.cfg.Fleet = max(cfg.Fleet, 1)
 	if cfg.AskForList {
@@ -88,7 +89,7 @@
 // Step takes the events of a moment and returns what to do about them, in order.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
 	s.now, s.actions = now, nil
-	// Lists and operators first: a drain acts in the step that told of it, whatever stands before it in the batch.
+	// Lists and operators first: a drain acts in the step that told of it, whatever stands before it.
 	for _, e := range events {
 		switch e := e.(type) {
 		case Listed:
@@ -172,7 +173,8 @@
 		d := s.destination(entry.Dest)
 		e := s.eps[entry.Endpoint]
 		if e == nil || e.dest != d {
-			e = &endpoint{id: entry.Endpoint, zone: entry.Zone, dest: d, disabled: s.out[entry.Endpoint]}
+			e = &endpoint{id: entry.Endpoint, zone: entry.Zone, dest: d}
+			e.disabled = s.out[e.id]
 			s.eps[entry.Endpoint] = e
 			d.endpoints = append(d.endpoints, e)
 			d.kind = entry.Kind
@@ -187,8 +189,8 @@
 	}
 }
 
-// setOut takes an endpoint out or puts it back, whatever its health and the list. Who takes one out restarts it
-// most likely, so it is taken for cold on its return.
+// setOut takes an endpoint out or puts it back, whatever its health and the list. Who takes one out most
+// likely restarts it, so it is taken for cold on its return.
 func (s *Sender) setOut(id string, out bool) {
 	was := s.out[id]
 	if s.out[id] = true; !out {
@@ -889,7 +891,8 @@
 	return fit[len(fit)-1]
 }
 
-// routeOpen is the part of the check that hangs on the endpoint alone: operators, drain, wait, health, budget and pace.
+// routeOpen is the part of the check that hangs on the endpoint alone: operators, drain, wait,
+// health, budget and pace.
 func (s *Sender) routeOpen(e *endpoint) bool {
 	r := e.route
 	if !e.usable() || s.now < r.waitUntil || r.tokens < 1 {
