--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -325,6 +325,7 @@
 	addr, _ := startNode(t, r, t.TempDir(), serving("e", p.addr(), 7, "SERVING"))
 	mustAnswer(t, addr, enqueue("a", ofPayout, ""), "+OK")
 	p.next(t)
+	time.Sleep(100 * time.Millisecond) // what crosses the answer is let through for so long
 	mustAnswer(t, addr, enqueue("b", ofStatus, ""), "+OK")
 	p.next(t)
 	p.next(t)
