--- a/internal/node/orders_test.go
+++ b/internal/node/orders_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 )
 
 // An endpoint out by hand gets nothing: not by a list that drops and returns it, not after a restart; two calls out
@@ -119,20 +118,37 @@
 	mustAnswer(t, addr, resp("PING"), "+PONG")
 }
 
-// A connection whose wait for a request is ended is looked at once more before it is closed.
+// A connection whose wait for a request is ended is looked at once more before it is closed: one that has come by
+// then is read.
 func TestCloseDoesNotCrossARequest(t *testing.T) {
-	c, addr := serveTest(t, 4, func(request) answer { return answer{} })
-	nc, br := dialTest(t, addr)
-	mustSay(t, nc, br, resp("PING"), "+PONG")
-	c.mu.Lock() // a request comes while the connection is being called back
-	if _, err := io.WriteString(nc, resp("PING")); err != nil {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(10 * time.Millisecond) // lets it arrive; too little fails nothing
-	c.callBackIdle()
-	c.mu.Unlock()
-	if line, err := br.ReadString('\n'); line != "+PONG\r\n" {
-		t.Errorf("got %q, %v", line, err)
+	defer ln.Close()
+	far, _ := dialTest(t, ln.Addr().String())
+	near, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	r := bufio.NewReader(near)
+	callBack(near)
+	if _, err := r.Peek(1); err == nil || lastLook(near, r, err) {
+		t.Fatalf("%v, and a request where none has come", err)
+	}
+	callBack(near)
+	if _, err := io.WriteString(far, resp("PING")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Peek(1); err == nil || !lastLook(near, r, err) {
+		t.Fatalf("%v, and a request is not seen", err)
+	}
+	if args, err := readCommand(r); err != nil || string(args[0]) != "PING" {
+		t.Errorf("got %q, %v", args, err)
+	}
+	if _, err := r.Peek(1); lastLook(near, r, io.EOF) {
+		t.Errorf("%v, and the end of a connection is taken for a request", err)
 	}
 }
 
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -405,10 +405,16 @@
 // close, and closing it here does not end it there.
 func TestPassedListenerIsNeverStuck(t *testing.T) {
 	node := newPlatform(t, newRegistry(t))
-	number, err := syscall.Dup(int(node.passed.Fd())) // Fd makes it blocking
+	number, err := syscall.Dup(int(node.passed.Fd()))
 	if err != nil {
 		t.Fatal(err)
 	}
+	meddle := func() { // as the start of another process may
+		t.Helper()
+		if err := syscall.SetNonblock(int(node.passed.Fd()), false); err != nil {
+			t.Fatal(err)
+		}
+	}
 	ln, err := PassedListener(number)
 	if err != nil {
 		t.Fatal(err)
@@ -423,7 +429,7 @@
 	}
 	for range 2 {
 		dial()
-		node.passed.Fd()
+		meddle()
 		nc, err := ln.Accept()
 		if err != nil {
 			t.Fatal(err)
@@ -432,11 +438,14 @@
 	}
 	failed := make(chan error)
 	accept := func() {
-		_, err := ln.Accept()
-		failed <- err
-	}
-	node.passed.Fd()
-	go accept()
+		go func() {
+			_, err := ln.Accept()
+			failed <- err
+		}()
+		time.Sleep(50 * time.Millisecond) // lets it wait; were it too little, the test would only see less
+	}
+	meddle()
+	accept()
 	if err := ln.(*passedListener).SetDeadline(time.Unix(1, 0)); err != nil {
 		t.Fatal(err)
 	}
@@ -446,7 +455,7 @@
 	if err := ln.(*passedListener).SetDeadline(time.Time{}); err != nil {
 		t.Fatal(err)
 	}
-	go accept()
+	accept()
 	if err := ln.Close(); err != nil {
 		t.Fatal(err)
 	}
