--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -25,6 +25,7 @@
 	watchSilence = 10 * time.Second // an empty line comes every 2 s while discovery is up
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 2 * time.Second
+	askSpacing   = 50 * time.Millisecond // of the whole fleet's first asks again after a failure common to all
 )
 
 // list is discovery's form of the list of endpoints, whole or as changes.
@@ -78,12 +79,26 @@
 	return e.shut.Load() || e.out.Load() || now.UnixNano() < e.wait.Load()
 }
 
-// backoff is a pause that doubles, with half of it left to chance so that nodes don't return in step.
-type backoff time.Duration
+// backoff is a pause that doubles from first to last, with half of it left to chance so that nodes don't return in step.
+type backoff struct{ first, last, pause time.Duration }
 
 func (b *backoff) next() time.Duration {
-	*b = min(max(2**b, backoff(firstBackoff)), backoff(lastBackoff))
-	return time.Duration(*b)/2 + rand.N(time.Duration(*b)/2)
+	b.pause = min(max(2*b.pause, b.first), max(b.first, b.last))
+	return b.pause/2 + rand.N(b.pause/2+1)
+}
+
+// reset starts over: what was tried has gone well.
+func (b *backoff) reset() { b.pause = 0 }
+
+// askPauses are the pauses between asks for the list. Where discovery has to be asked, every ask is work for it, and
+// one that it can't take in fails late: a whole fleet that asks again within a second or two keeps it from answering
+// anybody. So the pauses grow with the fleet, whose asks together stay under a rate that doesn't hang on its size.
+func askPauses(s choice.Settings) backoff {
+	if !s.AskForList {
+		return backoff{first: firstBackoff, last: lastBackoff}
+	}
+	first := max(firstBackoff, time.Duration(s.Fleet)*askSpacing)
+	return backoff{first: first, last: max(lastBackoff, 8*first)}
 }
 
 // sleep waits, and tells whether the context is still alive after it.
@@ -134,16 +149,16 @@
 }
 
 // watch follows discovery until the context ends, and hands each list on.
-func watch(ctx context.Context, log *slog.Logger, client *http.Client, at *discovery, after int64, tell func(list)) {
-	var pause backoff
+func watch(ctx context.Context, log *slog.Logger, client *http.Client, at *discovery, pause backoff, after int64, tell func(list)) {
 	for ctx.Err() == nil {
 		addr, here, cancel := at.here(ctx)
 		err := watchOnce(here, client, addr, after, func(l list) {
-			after, pause = l.Revision, 0
+			after = l.Revision
+			pause.reset()
 			tell(l)
 		})
 		if here.Err() != nil {
-			pause = 0 // it has moved, or the node ends
+			pause.reset() // it has moved, or the node ends
 		} else {
 			log.Debug("watch ended", "addr", addr, "err", err)
 			sleep(here, pause.next())
--- /dev/null
+++ b/internal/node/discovery_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"starlingusher/choice"
+)
+
+// busiestSecond is the most asks within a second that a fleet makes whose every ask fails, all from the same moment on.
+func busiestSecond(fleet int, asks bool) int {
+	const length = 120
+	counts := make([]int, length*10)
+	for range fleet {
+		pause := askPauses(choice.Settings{Fleet: fleet, AskForList: asks})
+		for at := pause.next(); at < length*time.Second; at += pause.next() {
+			counts[at/(100*time.Millisecond)]++
+		}
+	}
+	most, sum := 0, 0
+	for i, n := range counts {
+		if sum += n; i >= 10 {
+			sum -= counts[i-10]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func TestAFleetThatFailsInCommonDoesNotAskInStep(t *testing.T) {
+	small, large := busiestSecond(80, true), busiestSecond(400, true)
+	if large > 2*small {
+		t.Errorf("400 nodes ask up to %d times a second, 80 nodes %d times", large, small)
+	}
+	if all := busiestSecond(400, false); all < 2*large {
+		t.Errorf("asks that are no work for discovery are held back as well: %d against %d a second", all, large)
+	}
+}
+
+func TestPausesEndWithSuccess(t *testing.T) {
+	pause := askPauses(choice.Settings{Fleet: 80, AskForList: true})
+	first := pause.next()
+	for range 5 {
+		pause.next()
+	}
+	if late := pause.next(); late < 4*first/2 {
+		t.Errorf("a pause of %v after %v: it does not grow", late, first)
+	}
+	pause.reset()
+	if again := pause.next(); again > 80*askSpacing {
+		t.Errorf("the first pause after a success is %v, more than %v", again, 80*askSpacing)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -206,7 +206,7 @@
 	defer end()
 	n.step(life, events, nil)
 	parts.Go(func() {
-		watch(term, n.log, n.client, n.discovery, n.revision, func(l list) { n.tell(term, l) })
+		watch(term, n.log, n.client, n.discovery, askPauses(n.cfg.Settings), n.revision, func(l list) { n.tell(term, l) })
 	})
 	parts.Go(func() {
 		report(term, n.log, n.client, n.discovery, n.notices, func(b []notice) { n.tell(term, settled(b)) })
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -47,17 +47,18 @@
 		case <-ctx.Done():
 			return
 		}
-		var pause backoff
+		pause := backoff{first: firstBackoff, last: lastBackoff}
 		for len(batch) > 0 {
 			some := batch[:min(len(batch), maxNotices)]
 			addr, here, cancel := at.here(ctx)
 			err := post(here, client, addr, some)
 			switch {
 			case err == nil:
-				pause, batch = 0, batch[len(some):]
+				batch = batch[len(some):]
+				pause.reset()
 				done(some)
 			case here.Err() != nil:
-				pause = 0 // it has moved, or the node ends
+				pause.reset() // it has moved, or the node ends
 			default:
 				log.Debug("notices not taken", "addr", addr, "count", len(some), "err", err)
 				sleep(here, pause.next())
