--- a/choice/carry.go
+++ b/choice/carry.go
@@ -41,7 +41,7 @@
 func (e *endpoint) fields() map[string]any {
 	return map[string]any{
 		"id": &e.id, "zone": &e.zone, "ready": &e.ready, "listed": &e.listed, "disabled": &e.disabled,
-		"response": &e.response, "usual": &e.usual, "sentAt": &e.sentAt, "gap": &e.gap,
+		"response": &e.response, "usual": &e.usual, "sentAt": &e.sentAt, "gap": &e.gap, "shunRest": &e.shunRest, "shunUntil": &e.shunUntil,
 	}
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,6 +30,8 @@
 	chanceRun  = 0.02                    // a run of failures less likely than this by that share is no luck
 	shutWait   = 2200 * time.Millisecond // a told wait longer than any limit's span means shut
 	trialFirst = 250 * time.Millisecond  // half-open trials: first pause,
+	shunFirst  = 1 * time.Second         // an endpoint without connections is left alone so long at first,
+	shunLast   = 10 * time.Second        // and at the longest
 	trialLast  = 1000 * time.Millisecond // and the longest, a fraction of the outages worth noticing
 	sickCount  = 3                       // failures in a row that make an outage where they are rare,
 	sickSpan   = 2 * time.Second         // one less if none passed for so long,
@@ -205,41 +207,6 @@
 	s.hold(m, e.Key)
 }
 
-// take notes a new message and its demand on the destination.
-func (s *Sender) take(e Arrived) (*message, *destination) {
-	d := s.destination(e.Dest)
-	d.came, d.cameAt = d.rate(s.now)*seconds(demandSpan)+1, s.now
-	class := &Class{}
-	if e.Class >= 0 && e.Class < len(s.cfg.Classes) {
-		class = &s.cfg.Classes[e.Class]
-	}
-	m := &message{
-		id: e.ID, class: class, dest: d, arrived: s.now, dropDead: e.DropDead, worth: class.Worth,
-		born: e.DropDead - class.Deadline,
-	}
-	m.aim = min(class.Aim+span(class.AimStretch*seconds(e.Hint)), max(class.Deadline, class.Aim))
-	if !s.inShare(e.Tenant) {
-		m.worth *= s.cfg.OverShareWorth
-	}
-	s.msgs[m.id] = m
-	return m, d
-}
-
-// hold puts a message that was taken on among the waiting.
-func (s *Sender) hold(m *message, key string) {
-	s.open = append(s.open, m)
-	if m.class.Ordered && key != "" {
-		m.key = key
-		s.lines[m.key] = append(s.lines[m.key], m)
-	}
-	s.enqueue(m)
-	for _, e := range m.dest.endpoints {
-		if e.route.recovering() {
-			e.route.demand += 1 / float64(len(m.dest.endpoints))
-		}
-	}
-}
-
 // resumed takes back a message from before a restart. It was admitted then, so no gate is asked; what may
 // have run already and may not be repeated ends here. A failure known from before may have been an outage's,
 // whose end this life did not see: the way back there is taken as cold.
@@ -462,7 +429,7 @@
 	}
 	switch e.Outcome {
 	case Pass:
-		ep.usual = ease(ep.usual, took)
+		ep.usual, ep.shunRest = ease(ep.usual, took), 0
 		ep.response = ease(ep.response, took)
 		if r.fails > 0 && r.harmless && !r.sick {
 			s.crowded[ep.dest.kind] = s.now + crowdedSpan // no connection, then a pass: a full table
@@ -492,6 +459,9 @@
 		}
 	default:
 		ep.response = ease(ep.response, max(2*ep.response, took, seconds(slowLeast)))
+		if e.Outcome == NoRoute && s.shun(ep) {
+			return
+		}
 		s.failure(ep.dest, r, false, e.Outcome == NoRoute)
 	}
 	if c.left == 0 && e.Outcome != NoRoute && e.Outcome != Stale {
@@ -499,6 +469,16 @@
 	}
 }
 
+// shun leaves an endpoint that takes no connection alone for a while, longer each time, and tells whether
+// others of its route are left: then it has most likely gone, the list is late, and the route is not struck.
+func (s *Sender) shun(ep *endpoint) (others bool) {
+	if s.now >= ep.shunUntil {
+		ep.shunRest = min(max(2*ep.shunRest, shunFirst), shunLast)
+		ep.shunUntil = s.now + ep.shunRest
+	}
+	return s.othersOpen(ep)
+}
+
 // giveBack closes idle connections that stand in other senders' way: an endpoint's table may be small, idle
 // ones counted, and a large fleet fills it. It acts where the connection would be closed before its next use
 // anyway, and at a kind where connects failed of late; there it costs handshakes while the sign lasts.
@@ -550,7 +530,9 @@
 			s.strike(r)
 		}
 	} else if s.now >= r.trialAt {
-		r.backoff = min(2*r.backoff, trialLast)
+		if !r.whole { // one tries for all
+			r.backoff = min(2*r.backoff, trialLast)
+		}
 		r.trialAt = s.now + r.backoff/2 + time.Duration(s.rng.Int64N(int64(r.backoff)))
 	}
 }
@@ -831,6 +813,11 @@
 	var odds []float64
 	for _, e := range m.dest.endpoints {
 		if check(m, e) {
+			if shunned := s.now < e.shunUntil; shunned && len(fit) > 0 && s.now >= fit[0].shunUntil {
+				continue
+			} else if !shunned && len(fit) > 0 && s.now < fit[0].shunUntil {
+				fit, odds, total = nil, nil, 0 // whoever takes connections comes before those that don't
+			}
 			o := math.Pow(max(e.response, seconds(floorResponse)), -drawPower)
 			fit, odds, total = append(fit, e), append(odds, o), total+o
 		}
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -24,17 +24,15 @@
 	grantLast     = 300 * time.Millisecond // a grant that is not used runs out
 	trialLost     = 2 * time.Second        // a trial of which nothing is heard for so long is taken for lost
 	fleetCut      = 0.7                    // factor on the pace of all at refusals over the limit,
+	lostRest      = 2 * time.Second        // who got no connection comes after the others for so long
+	lostSign      = 500 * time.Millisecond // an outage lets nobody else's call pass for so long
+	fullWeight    = 0.1                    // weight of a call in the share of refusals over the limit,
+	fullCut       = 0.2                    // which tells that the pace is too high: a few come at any pace
 	fleetCutEvery = 250 * time.Millisecond // once for those of calls that were out together
 	fleetFloor    = 0.05                   // least share of the limit that all together try
 	fleetRestMost = time.Second            // longest rest of all after refusals in a row
 )
 
-// shared tells that the senders share limits by notes at all.
-func (s *Sender) shared() bool { return s.cfg.MayTell && s.cfg.Fleet > 1 }
-
-// governed tells that calls to the destination wait for grants.
-func (s *Sender) governed(d *destination) bool { return s.shared() && !d.claim.alone }
-
 // claims asks for what the waiting messages could use now.
 func (s *Sender) claims() {
 	for _, d := range s.active {
@@ -84,11 +82,6 @@
 	return n, urgency, route
 }
 
-// askable is the check before every send but for the grant.
-func (s *Sender) askable(m *message, e *endpoint) bool {
-	return s.fits(m, e) && e.usable() && s.now >= e.route.waitUntil
-}
-
 // missed counts an ask without an answer: a silent keeper is given up for the next, and after the last of
 // them the sender goes on alone, at the pace of its own demand: what it holds by now is no more than its
 // part.
@@ -137,7 +130,10 @@
 
 // tellKeeper reports a call's end to whoever keeps the destination's limit.
 func (s *Sender) tellKeeper(ep *endpoint, o Outcome, wait time.Duration) {
-	if s.governed(ep.dest) && o != Stale && o != Undone {
+	if o == NoRoute && s.othersOpen(ep) {
+		o = Stale // of that endpoint alone
+	}
+	if s.governed(ep.dest) {
 		s.note(s.keeper(ep.dest, ep.dest.claim.rank), note{
 			kind: noteEnd, dest: ep.dest.id, route: s.mark(ep), outcome: o, wait: wait,
 		})
@@ -157,7 +153,7 @@
 	case noteEnd:
 		for _, e := range d.endpoints {
 			if s.mark(e) == n.route {
-				s.fleetHeard(e, n.outcome, n.wait)
+				s.fleetHeard(e, from, n.outcome, n.wait)
 				return
 			}
 		}
@@ -225,7 +221,7 @@
 		return !d.kept
 	})
 	for _, d := range s.kept {
-		for w := d.neediest(); w != nil; w = d.neediest() {
+		for w := d.neediest(s.now); w != nil; w = d.neediest(s.now) {
 			e := s.fleetRoom(d, w.route)
 			if e == nil {
 				break
@@ -251,9 +247,16 @@
 	return own
 }
 
-// neediest is whose message is worth most, and of these the one that has waited longest.
-func (d *destination) neediest() (best *want) {
+// neediest is whose message is worth most, and of these the one that has waited longest. Who got no
+// connection of late comes last: its list may be old, and then its calls and trials tell nothing.
+func (d *destination) neediest(now time.Duration) (best *want) {
 	for _, w := range d.wants {
+		if best != nil && w.n > 0 && (now < w.lostUntil) != (now < best.lostUntil) {
+			if now < best.lostUntil {
+				best = w
+			}
+			continue
+		}
 		if w.n > 0 && (best == nil || w.urgency > best.urgency ||
 			(w.urgency == best.urgency && w.since < best.since)) {
 			best = w
@@ -285,14 +288,28 @@
 }
 
 // fleetHeard takes the end of any sender's call, as the keeper.
-func (s *Sender) fleetHeard(e *endpoint, o Outcome, wait time.Duration) {
+func (s *Sender) fleetHeard(e *endpoint, from int, o Outcome, wait time.Duration) {
 	f := s.fleet(e)
 	f.trial = false
+	for _, w := range e.dest.wants {
+		if w.from == from && o == NoRoute {
+			w.lostUntil = s.now + lostRest
+		} else if w.from == from && o == Pass {
+			w.lostUntil = 0
+		}
+	}
+	if o == NoRoute && s.now-f.deliveredAt < lostSign && f.deliveredAt > 0 {
+		return // others get through: who does not has an old list
+	}
 	switch shut := wait > shutWait; {
+	case o == Stale, o == Undone:
 	case o == Pass:
 		s.passed(f)
+		f.full *= 1 - fullWeight
+		f.deliveredAt = s.now
 	case o == NoRoom && !shut && !f.sick:
-		if s.now-f.cutAt >= fleetCutEvery {
+		f.full += fullWeight * (1 - f.full)
+		if f.full > fullCut && s.now-f.cutAt >= fleetCutEvery {
 			f.cutAt, f.partAt = s.now, s.now
 			f.part = max(fleetFloor, f.part*fleetCut)
 			f.tokens = min(f.tokens, 0)
--- a/choice/state.go
+++ b/choice/state.go
@@ -84,16 +84,17 @@
 
 // want is what a sender has asked of this one, the keeper.
 type want struct {
-	from     int
-	seq      uint16
-	n        int
-	urgency  uint8
-	route    uint16 // drawn by who asks
-	since    time.Duration
-	at       time.Duration // last said
-	owed     bool          // the ask has no answer yet
-	grantSeq uint16
-	grantAt  time.Duration // last grant
+	from      int
+	seq       uint16
+	n         int
+	urgency   uint8
+	route     uint16 // drawn by who asks
+	since     time.Duration
+	at        time.Duration // last said
+	owed      bool          // the ask has no answer yet
+	grantSeq  uint16
+	grantAt   time.Duration // last grant
+	lostUntil time.Duration // its calls got no connection of late
 }
 
 // gate is the two-bound admission control of the paper, for one destination.
@@ -105,47 +106,50 @@
 
 // route is what limits, waits and outages bind: a destination, or an endpoint that is a route apart.
 type route struct {
-	waitUntil time.Duration // rule six
-	limit     float64       // calls a second as reported
-	reported  bool
-	left      float64 // share of it left at the last report
-	weight    float64
-	part      float64 // this sender's part of the limit
-	partAt    time.Duration
-	tokens    float64
-	tokensAt  time.Duration
-	fails     int           // failures in a row
-	failedAt  time.Duration // the first of them
-	rest      time.Duration // after the last of the refusals in a row
-	sick      bool
-	harmless  bool // the last failure proved that nothing ran
-	trialAt   time.Duration
-	backoff   time.Duration
-	trial     bool          // a trial is out
-	coldFrom  time.Duration // start of the recovery; 0 none
-	struckAt  time.Duration // start of the outage
-	demand    float64       // this sender's messages for the route since then
-	busiest   float64       // most calls passed in a second, for want of any limit
-	passed    float64
-	passedAt  time.Duration
-	triedAt   time.Duration // last trial, where it stands for all senders
-	cutAt     time.Duration // last cut for refusals, where it stands for all senders
-	whole     bool          // it stands for the calls of all senders
-	fleet     *route        // the same route as its keeper knows it
+	waitUntil   time.Duration // rule six
+	limit       float64       // calls a second as reported
+	reported    bool
+	left        float64 // share of it left at the last report
+	weight      float64
+	part        float64 // this sender's part of the limit
+	partAt      time.Duration
+	tokens      float64
+	tokensAt    time.Duration
+	fails       int           // failures in a row
+	failedAt    time.Duration // the first of them
+	rest        time.Duration // after the last of the refusals in a row
+	sick        bool
+	harmless    bool // the last failure proved that nothing ran
+	trialAt     time.Duration
+	backoff     time.Duration
+	trial       bool          // a trial is out
+	coldFrom    time.Duration // start of the recovery; 0 none
+	struckAt    time.Duration // start of the outage
+	demand      float64       // this sender's messages for the route since then
+	busiest     float64       // most calls passed in a second, for want of any limit
+	passed      float64
+	passedAt    time.Duration
+	triedAt     time.Duration // last trial, where it stands for all senders
+	deliveredAt time.Duration // last pass, there
+	full        float64       // smoothed share of calls refused over the limit, there
+	cutAt       time.Duration // last cut for refusals, where it stands for all senders
+	whole       bool          // it stands for the calls of all senders
+	fleet       *route        // the same route as its keeper knows it
 }
 
 type endpoint struct {
-	id       string
-	zone     int
-	dest     *destination
-	route    *route
-	ready    bool
-	listed   bool          // it is in the list, ready or draining
-	disabled bool          // operators have taken it out
-	response float64       // smoothed seconds, failures counting slow
-	usual    float64       // smoothed seconds of passed calls
-	sentAt   time.Duration // last call
-	gap      float64       // smoothed seconds between calls
+	id                  string
+	zone                int
+	dest                *destination
+	route               *route
+	ready               bool
+	listed              bool          // it is in the list, ready or draining
+	disabled            bool          // operators have taken it out
+	response            float64       // smoothed seconds, failures counting slow
+	usual               float64       // smoothed seconds of passed calls
+	sentAt              time.Duration // last call
+	gap                 float64       // smoothed seconds between calls
+	shunRest, shunUntil time.Duration // it takes no connections
 }
 
 type message struct {
@@ -426,3 +430,56 @@
 	e.route.fleet.weight = e.route.weight
 	return e.route.fleet
 }
+
+// othersOpen tells that other endpoints of its route take connections, as far as it is known.
+func (s *Sender) othersOpen(ep *endpoint) bool {
+	return slices.ContainsFunc(ep.dest.endpoints, func(o *endpoint) bool {
+		return o != ep && o.route == ep.route && o.usable() && s.now >= o.shunUntil
+	})
+}
+
+// take notes a new message and its demand on the destination.
+func (s *Sender) take(e Arrived) (*message, *destination) {
+	d := s.destination(e.Dest)
+	d.came, d.cameAt = d.rate(s.now)*seconds(demandSpan)+1, s.now
+	class := &Class{}
+	if e.Class >= 0 && e.Class < len(s.cfg.Classes) {
+		class = &s.cfg.Classes[e.Class]
+	}
+	m := &message{
+		id: e.ID, class: class, dest: d, arrived: s.now, dropDead: e.DropDead, worth: class.Worth,
+		born: e.DropDead - class.Deadline,
+	}
+	m.aim = min(class.Aim+span(class.AimStretch*seconds(e.Hint)), max(class.Deadline, class.Aim))
+	if !s.inShare(e.Tenant) {
+		m.worth *= s.cfg.OverShareWorth
+	}
+	s.msgs[m.id] = m
+	return m, d
+}
+
+// hold puts a message that was taken on among the waiting.
+func (s *Sender) hold(m *message, key string) {
+	s.open = append(s.open, m)
+	if m.class.Ordered && key != "" {
+		m.key = key
+		s.lines[m.key] = append(s.lines[m.key], m)
+	}
+	s.enqueue(m)
+	for _, e := range m.dest.endpoints {
+		if e.route.recovering() {
+			e.route.demand += 1 / float64(len(m.dest.endpoints))
+		}
+	}
+}
+
+// askable is the check before every send but for the grant.
+func (s *Sender) askable(m *message, e *endpoint) bool {
+	return s.fits(m, e) && e.usable() && s.now >= e.route.waitUntil
+}
+
+// shared tells that the senders share limits by notes at all.
+func (s *Sender) shared() bool { return s.cfg.MayTell && s.cfg.Fleet > 1 }
+
+// governed tells that calls to the destination wait for grants.
+func (s *Sender) governed(d *destination) bool { return s.shared() && !d.claim.alone }
