--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -21,7 +21,7 @@
 	askMisses     = 3                      // and a keeper that has not answered so many is taken for gone
 	askedLast     = time.Second            // an ask not said again for so long is forgotten
 	seekEvery     = time.Second            // who is alone or with a later keeper tries another so often
-	grantLast     = 300 * time.Millisecond // a grant that is not used runs out
+	grantLast     = 200 * time.Millisecond // a grant that is not used is given back
 	trialLost     = 2 * time.Second        // a trial of which nothing is heard for so long is taken for lost
 	fleetCut      = 0.7                    // factor on the pace of all at refusals over the limit,
 	lostRest      = 2 * time.Second        // who got no connection comes after the others for so long
@@ -37,7 +37,7 @@
 func (s *Sender) claims() {
 	for _, d := range s.active {
 		c := &d.claim
-		c.grants = slices.DeleteFunc(c.grants, func(g grant) bool { return s.now >= g.until })
+		s.giveBackGrants(d)
 		if c.alone || c.rank > 0 {
 			s.seek(d)
 		}
@@ -116,18 +116,6 @@
 	s.ask(d, s.keeper(d, rank), 0, 0, 0)
 }
 
-func (s *Sender) ask(d *destination, keeper, n int, urgency float64, route uint16) {
-	c := &d.claim
-	if n > 0 {
-		c.askedAt = s.now
-	}
-	c.seq++
-	s.note(keeper, note{
-		kind: noteAsk, dest: d.id, route: route, seq: c.seq, seen: c.grantSeq, count: min(n, 255),
-		urgency: uint8(255 * min(urgency, 1)),
-	})
-}
-
 // tellKeeper reports a call's end to whoever keeps the destination's limit.
 func (s *Sender) tellKeeper(ep *endpoint, o Outcome, wait time.Duration) {
 	if o == NoRoute && s.othersOpen(ep) {
@@ -160,8 +148,7 @@
 	}
 }
 
-// grantedBy takes a keeper's answer, which may grant nothing yet. More than was asked for is not taken: it
-// answers an ask of before.
+// grantedBy takes a keeper's answer, which may grant nothing yet. What is not needed then is given back.
 func (s *Sender) grantedBy(d *destination, from int, n note) {
 	c := &d.claim
 	for rank := range keeperRanks {
@@ -172,15 +159,9 @@
 			c.alone, c.rank, c.wanted = false, rank, 0
 		}
 		c.heardAt, c.misses = s.now, 0
-		if !newer(n.seq, c.grantSeq) && n.count > 0 {
-			return
-		}
-		if n.count > 0 {
-			c.grantSeq = n.seq
-		}
-		for range min(n.count, c.wanted) {
-			c.wanted--
+		if n.count > 0 && c.fresh(n.seq) {
 			c.grants = append(c.grants, grant{n.route, s.now + grantLast})
+			c.wanted = max(c.wanted-1, 0)
 		}
 	}
 }
@@ -302,7 +283,9 @@
 		return // others get through: who does not has an old list
 	}
 	switch shut := wait > shutWait; {
-	case o == Stale, o == Undone:
+	case o == Stale: // it was not made, or not taken: the destination has room for another
+		f.tokens++
+	case o == Undone:
 	case o == Pass:
 		s.passed(f)
 		f.full *= 1 - fullWeight
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -396,3 +396,39 @@
 		t.Error("a partner none of whose endpoints takes connections is not struck")
 	}
 }
+
+func TestGrantsThatOvertakeEachOtherCountOnce(t *testing.T) {
+	var c claim
+	for _, g := range []struct {
+		seq   uint16
+		fresh bool
+	}{
+		{65534, true}, {65534, false}, {1, true}, {65535, true}, {0, true}, {65535, false}, {0, false}, {2, true},
+		{1, false}, {900, true}, {899, true}, {899, false}, {30000, true}, {29999, true},
+	} {
+		if got := c.fresh(g.seq); got != g.fresh {
+			t.Errorf("grant %d is fresh: %v", g.seq, got)
+		}
+	}
+}
+
+// A grant for a message that has ended meanwhile is no loss to the others.
+func TestUnusedGrantsComeBack(t *testing.T) {
+	w := newStory(t, settings(), 1)
+	w.s.cfg.MayTell, w.s.cfg.Fleet = true, 2
+	w.step(0, list(Entry{Endpoint: "a", Weight: 100}))
+	d := w.s.dests[0]
+	if w.s.keeper(d, 0) != 0 {
+		d.keepers = []int{0, 1}
+	}
+	w.step(time.Second)
+	d.claim.grants = []grant{{route: 0, until: w.now + grantLast}}
+	f := w.s.fleet(d.endpoints[0])
+	f.weight, f.tokens, f.tokensAt = 1, 0, w.now
+	d.active = true
+	w.s.active = append(w.s.active, d)
+	w.s.now = w.now + grantLast
+	if w.s.claims(); len(d.claim.grants) != 0 || f.tokens < 1 {
+		t.Errorf("%d grants are kept and %v calls may go", len(d.claim.grants), f.tokens)
+	}
+}
--- a/choice/note.go
+++ b/choice/note.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"slices"
 	"time"
 )
 
@@ -107,3 +108,44 @@
 		s.noted(e.From, n)
 	}
 }
+
+// ask sends an ask for so many calls.
+func (s *Sender) ask(d *destination, keeper, n int, urgency float64, route uint16) {
+	c := &d.claim
+	if n > 0 {
+		c.askedAt = s.now
+	}
+	c.seq++
+	s.note(keeper, note{
+		kind: noteAsk, dest: d.id, route: route, seq: c.seq, seen: c.grantSeq, count: min(n, 255),
+		urgency: uint8(255 * min(urgency, 1)),
+	})
+}
+
+// giveBackGrants returns grants that have run out unused.
+func (s *Sender) giveBackGrants(d *destination) {
+	d.claim.grants = slices.DeleteFunc(d.claim.grants, func(g grant) bool {
+		if s.now >= g.until {
+			s.note(s.keeper(d, d.claim.rank), note{kind: noteEnd, dest: d.id, route: g.route, outcome: Stale})
+		}
+		return s.now >= g.until
+	})
+}
+
+// fresh tells that a grant has not come before. Grants overtake each other; of the last 64 it is known which have
+// come, and one from further behind is of a keeper that was started anew.
+func (c *claim) fresh(seq uint16) bool {
+	switch ahead, behind := seq-c.grantSeq, c.grantSeq-seq; {
+	case behind < 64:
+		bit := uint64(1) << behind
+		old := c.grantsSeen&bit != 0
+		c.grantsSeen |= bit
+		return !old
+	case ahead < 64:
+		c.grantsSeen = c.grantsSeen<<ahead | 1
+	default:
+		c.grantsSeen = 1
+	}
+	c.grantSeq = seq
+	return true
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -64,16 +64,17 @@
 
 // claim is what a sender has asked and got of a destination's keeper.
 type claim struct {
-	rank     int  // of the keeper that is asked
-	alone    bool // none answers
-	seq      uint16
-	wanted   int // calls asked for and not granted yet
-	askedAt  time.Duration
-	heardAt  time.Duration
-	misses   int // asks in a row without an answer
-	soughtAt time.Duration
-	grantSeq uint16
-	grants   []grant
+	rank       int  // of the keeper that is asked
+	alone      bool // none answers
+	seq        uint16
+	wanted     int // calls asked for and not granted yet
+	askedAt    time.Duration
+	heardAt    time.Duration
+	misses     int // asks in a row without an answer
+	soughtAt   time.Duration
+	grantSeq   uint16 // the furthest grant that has come
+	grantsSeen uint64 // which of those before it have
+	grants     []grant
 }
 
 // grant is leave for one call.
