--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -222,7 +222,7 @@
 		parts.Go(func() { n.predecessor(term, c.from) })
 		defer c.from.close()
 	}
-	if n.peers, err = listenToPeers(n.cfg); err != nil {
+	if n.peers, err = listenToPeers(term, n.cfg); err != nil {
 		n.log.Error("no notes to or from other nodes", "err", err)
 	}
 	if n.peers != nil {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,13 +6,15 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 
 	"starlingusher/choice"
 )
 
 const (
 	maxDatagram = 256 // a longer one is not allowed between nodes
-
+	peerTries   = 20
+	peerPause   = 10 * time.Millisecond
 )
 
 // peers carries the module's notes between the nodes of a fleet, as datagrams: late, or not at all.
@@ -22,8 +24,8 @@
 	numbers map[netip.AddrPort]int
 }
 
-// listenToPeers opens the socket for notes. Without an address for it, or without other nodes, there are none.
-func listenToPeers(cfg Config) (*peers, error) {
+// listenToPeers opens the socket for notes. At an upgrade the process before may hold it for some moments more. Without an address for it, or without other nodes, there are none.
+func listenToPeers(ctx context.Context, cfg Config) (*peers, error) {
 	if cfg.PeerListen == "" || !cfg.Settings.MayTell || len(cfg.Peers) < 2 {
 		return nil, nil
 	}
@@ -40,8 +42,15 @@
 	if err != nil {
 		return nil, err
 	}
-	p.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
-	return p, err
+	for range peerTries {
+		if p.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)); err == nil {
+			return p, nil
+		}
+		if !sleep(ctx, peerPause) {
+			break
+		}
+	}
+	return nil, err
 }
 
 // receive hands on what other nodes send, until the socket is closed.
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -67,20 +67,40 @@
 func TestWithoutAFleetNoSocketIsOpened(t *testing.T) {
 	var cfg Config
 	cfg.Settings.MayTell = true
-	if p, err := listenToPeers(cfg); p != nil || err != nil {
+	if p, err := listenToPeers(t.Context(), cfg); p != nil || err != nil {
 		t.Errorf("%v, %v", p, err)
 	}
 	var none *peers
 	none.send(choice.Tell{}, nil)
 	none.close()
 	cfg.PeerListen, cfg.Peers = "127.0.0.1:0", []string{"127.0.0.1:1", "127.0.0.1:2"}
-	p, err := listenToPeers(cfg)
+	p, err := listenToPeers(t.Context(), cfg)
 	if err != nil || len(p.addrs) != 2 {
 		t.Fatalf("%v, %v", p, err)
 	}
 	p.close()
 	cfg.Peers[1] = "nowhere"
-	if _, err := listenToPeers(cfg); err == nil {
+	if _, err := listenToPeers(t.Context(), cfg); err == nil {
 		t.Error("a list that can't be read was taken")
 	}
 }
+
+func TestTheSocketOfTheProcessBeforeIsWaitedFor(t *testing.T) {
+	before, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cfg Config
+	cfg.Settings.MayTell = true
+	cfg.PeerListen, cfg.Peers = before.LocalAddr().String(), []string{"127.0.0.1:1", "127.0.0.1:2"}
+	if p, err := listenToPeers(t.Context(), cfg); err == nil {
+		p.close()
+		t.Error("the socket is had twice")
+	}
+	time.AfterFunc(3*peerPause, func() { before.Close() })
+	p, err := listenToPeers(t.Context(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.close()
+}
