--- /dev/null
+++ b/cmd/registry/main.go
@@ -0,0 +1,122 @@
+// Command registry is the project's own list service: instances register with it, and nodes follow the list.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"starlingusher/internal/registry"
+)
+
+const (
+	closeGrace    = time.Second
+	consolePlaces = 16
+)
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err := run(log, os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
+		log.Error("registry ends", "err", err)
+		os.Exit(1)
+	}
+}
+
+// options are what the command line says.
+type options struct {
+	listen, console string
+	places          int64
+	server          registry.Config
+}
+
+func readOptions(args []string) (options, error) {
+	o := options{server: registry.Config{Options: registry.DefaultOptions()}}
+	var peers string
+	f := flag.NewFlagSet("registry", flag.ContinueOnError)
+	f.StringVar(&o.listen, "listen", "127.0.0.1:8500", "address for nodes, instances and other servers")
+	f.StringVar(&o.console, "console", "", "address for operators; none if empty")
+	f.StringVar(&o.server.State, "state", "", "folder that outlasts the process; needed")
+	f.StringVar(&peers, "servers", "", "addresses of all servers in the order of their numbers, with commas; empty for a single one")
+	f.IntVar(&o.server.Number, "number", 0, "this server's place among them, from 0")
+	f.BoolVar(&o.server.Bootstrap, "bootstrap", false, "with an empty folder, begin a list; for one server only")
+	f.DurationVar(&o.server.Coalesce, "coalesce", 20*time.Millisecond, "changes so close together are told at once")
+	f.IntVar(&o.server.MaxWatchers, "watchers", 4096, "watches at most")
+	f.Int64Var(&o.places, "connections", 8192, "connections at most")
+	f.Int64Var(&o.server.MaxReports, "report-bytes", 16<<20, "bytes of notices that are kept")
+	f.IntVar(&o.server.Options.MaxInstances, "instances", o.server.Options.MaxInstances, "instances at most")
+	f.DurationVar(&o.server.Options.Grace, "grace", o.server.Options.Grace, "what leases get on top after a start or a promotion")
+	f.Float64Var(&o.server.Options.PreserveShare, "preserve-share", o.server.Options.PreserveShare,
+		"no lease lapses while more than this share of the instances is silent")
+	f.DurationVar(&o.server.Options.PreserveFor, "preserve-for", o.server.Options.PreserveFor, "for so long at most")
+	if err := f.Parse(args); err != nil {
+		return o, err
+	}
+	if f.NArg() > 0 {
+		return o, fmt.Errorf("unknown argument %q", f.Arg(0))
+	}
+	if o.server.State == "" {
+		return o, errors.New("-state is needed")
+	}
+	if peers != "" {
+		o.server.Peers = strings.Split(peers, ",")
+	}
+	return o, nil
+}
+
+func run(log *slog.Logger, args []string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	o, err := readOptions(args)
+	if err != nil {
+		return err
+	}
+	s, err := registry.New(o.server, log)
+	if err != nil {
+		return err
+	}
+	var serving sync.WaitGroup
+	var fronts []*http.Server
+	open := func(addr string, h http.Handler, places int64) error {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return err
+		}
+		front := s.HTTPServer(h, places, log)
+		fronts = append(fronts, front)
+		log.Info("serving", "addr", ln.Addr())
+		serving.Go(func() {
+			if err := front.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				log.Error("a front is shut", "addr", ln.Addr(), "err", err)
+				stop()
+			}
+		})
+		return nil
+	}
+	err = open(o.listen, s.Handler(), o.places)
+	if err == nil && o.console != "" {
+		err = open(o.console, s.Console(), consolePlaces)
+	}
+	if err != nil {
+		stop() // what is open closes again
+	}
+	err = errors.Join(err, s.Run(ctx))
+	bye, cancel := context.WithTimeout(context.Background(), closeGrace)
+	defer cancel()
+	for _, front := range fronts {
+		if front.Shutdown(bye) != nil {
+			err = errors.Join(err, front.Close())
+		}
+	}
+	serving.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/registry/bench_test.go
@@ -0,0 +1,144 @@
+package registry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+)
+
+// BenchmarkChange tells what one change costs until the last of so many watchers has it. Heap is that of both ends,
+// which the benchmark holds; allocations and bytes a change are of both as well.
+func BenchmarkChange(b *testing.B) {
+	for _, count := range []int{1, 300, 3000} {
+		b.Run(fmt.Sprintf("watchers=%d", count), func(b *testing.B) {
+			log := slog.New(slog.DiscardHandler)
+			s, err := New(Config{
+				Bootstrap: true, State: b.TempDir(), Options: DefaultOptions(), Coalesce: time.Microsecond, MaxWatchers: count,
+			}, log)
+			if err != nil {
+				b.Fatal(err)
+			}
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			front := s.HTTPServer(s.Handler(), int64(count+10), log)
+			var parts sync.WaitGroup
+			parts.Go(func() { front.Serve(ln) })
+			ctx, cancel := context.WithCancel(b.Context())
+			parts.Go(func() { s.Run(ctx) })
+			set := func(m Member) {
+				if _, err := s.do(b.Context(), order{plan: s.asPrimary(func(now time.Duration) (List, any, error) {
+					l, err := s.cat.Register(now, 1, m)
+					return l, nil, err
+				})}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			for n := range 30 {
+				set(instance(n))
+			}
+			var got sync.WaitGroup
+			before := heap()
+			var conns []net.Conn
+			got.Add(count)
+			for range count {
+				nc, err := net.Dial("tcp", ln.Addr().String())
+				if err != nil {
+					b.Fatal(err)
+				}
+				conns = append(conns, nc)
+				if _, err := io.WriteString(nc, "GET /registry/instances?watch=1 HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+					b.Fatal(err)
+				}
+				parts.Go(func() {
+					r := bufio.NewReaderSize(nc, 4096)
+					for {
+						line, err := r.ReadSlice('\n')
+						if err == nil || err == bufio.ErrBufferFull {
+							if bytes.Contains(line, []byte(`"revision"`)) {
+								got.Done()
+							}
+							continue
+						}
+						return
+					}
+				})
+			}
+			got.Wait()
+			perWatcher := float64(heap()-before) / float64(count)
+			bytesBefore := s.figures.bytes.Load()
+			n := 0
+			for b.Loop() {
+				got.Add(count)
+				m := instance(n % 30)
+				m.Size = float64(2 + n)
+				set(m)
+				got.Wait()
+				n++
+			}
+			b.ReportMetric(perWatcher, "heap-B/watcher")
+			b.ReportMetric(float64(s.figures.bytes.Load()-bytesBefore)/float64(n*count), "wire-B/watcher")
+			for _, nc := range conns {
+				nc.Close()
+			}
+			cancel()
+			front.Close()
+			parts.Wait()
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkRecovery tells what a start costs by the number of changes in the log.
+func BenchmarkRecovery(b *testing.B) {
+	for _, count := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("changes=%d", count), func(b *testing.B) {
+			c := NewCatalog(DefaultOptions())
+			c.Apply(0, List{Revision: firstOf(16)})
+			raw, err := appendRecord([]byte(logMagic), c.Whole())
+			if err != nil {
+				b.Fatal(err)
+			}
+			for n := range count {
+				m := instance(n % 300)
+				m.Size = float64(2 + n)
+				l, err := c.Register(0, 1, m)
+				if err != nil {
+					b.Fatal(err)
+				}
+				c.Apply(0, l)
+				if raw, err = appendRecord(raw, l); err != nil {
+					b.Fatal(err)
+				}
+			}
+			dir := b.TempDir()
+			if err := os.WriteFile(dir+"/"+logName, raw, 0o600); err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				s, lists, err := OpenStore(dir)
+				if err != nil || len(lists) != count+1 {
+					b.Fatal(len(lists), err)
+				}
+				s.Close()
+			}
+			b.ReportMetric(float64(len(raw)), "log-B")
+		})
+	}
+}
--- /dev/null
+++ b/internal/registry/catalog_test.go
@@ -0,0 +1,282 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+)
+
+const ttl = 10 * time.Second
+
+func instance(n int) Member {
+	return Member{
+		Instance: Instance{
+			ID: fmt.Sprintf("s-%04d", n), Addr: fmt.Sprintf("10.0.%d.%d:80", n/250, 1+n%250), Locality: "a", Flavor: "m",
+			Cell: n % 7, Size: 1, UpSince: 1000,
+		},
+		Owner: fmt.Sprintf("p-%d", n), LeaseMS: ttl.Milliseconds(),
+	}
+}
+
+// newList is a catalog in its first epoch with so many instances registered at time 0.
+func newList(t *testing.T, count int) *Catalog {
+	t.Helper()
+	c := NewCatalog(DefaultOptions())
+	first, err := c.Promote(1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Apply(0, first)
+	for n := range count {
+		register(t, c, 0, instance(n))
+	}
+	return c
+}
+
+func register(t *testing.T, c *Catalog, now time.Duration, m Member) List {
+	t.Helper()
+	l, err := c.Register(now, 5000, m)
+	if err != nil {
+		t.Fatalf("register %s: %v", m.ID, err)
+	}
+	c.apply(now, l)
+	return l
+}
+
+// apply is what a server does with a list that could be written down.
+func (c *Catalog) apply(now time.Duration, l List) {
+	if l.Revision != 0 {
+		c.Apply(now, l)
+	}
+}
+
+func lapse1(c *Catalog, now time.Duration) int {
+	l := c.Lapse(now)
+	c.apply(now, l)
+	c.Lapsed(now, l)
+	return len(l.Members)
+}
+
+func TestALeaseThatIsNotRenewedLapses(t *testing.T) {
+	c := newList(t, 10)
+	for at := time.Second; at < 3*ttl; at += time.Second {
+		for n := 1; n < 10; n++ {
+			if _, err := c.Renew(at, instance(n).ID, instance(n).Owner); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before := c.Head()
+		gone := lapse1(c, at)
+		if want := at == ttl; (gone == 1) != want || gone > 1 {
+			t.Fatalf("%d lapsed at %v", gone, at)
+		}
+		if (c.Head() > before) != (gone > 0) {
+			t.Fatalf("revision %d after %d with %d lapsed", c.Head(), before, gone)
+		}
+	}
+	if _, err := c.Renew(3*ttl, instance(0).ID, instance(0).Owner); !errors.Is(err, ErrUnknown) {
+		t.Errorf("a lapsed lease was renewed: %v", err)
+	}
+}
+
+func TestARenewalAndAClaimSaidTwiceAreNoChange(t *testing.T) {
+	c := newList(t, 1)
+	if l := register(t, c, time.Second, instance(0)); l.Revision != 0 {
+		t.Errorf("a claim said again is revision %d", l.Revision)
+	}
+	if lapse1(c, ttl) != 0 {
+		t.Error("a claim said again does not renew")
+	}
+}
+
+// Two processes that claim an id: the second gets it only if it started later at the same address, or once the
+// lease of the first is over.
+func TestTwoClaimsOnAnID(t *testing.T) {
+	other := instance(0)
+	other.Owner, other.Addr = "other", "10.9.9.9:80"
+	c := newList(t, 1)
+	var conflict *Conflict
+	if _, err := c.Register(time.Second, 5000, other); !errors.As(err, &conflict) {
+		t.Fatalf("an id was taken from its owner: %v", err)
+	}
+	if conflict.After != ttl-time.Second {
+		t.Errorf("it falls free after %v", conflict.After)
+	}
+	if _, err := c.Renew(time.Second, other.ID, other.Owner); !errors.As(err, &conflict) {
+		t.Errorf("another's lease was renewed: %v", err)
+	}
+	if _, err := c.Withdraw(time.Second, other.ID, other.Owner); !errors.As(err, &conflict) {
+		t.Errorf("another's instance was withdrawn: %v", err)
+	}
+	if l := register(t, c, ttl, other); len(l.Members) != 1 {
+		t.Errorf("after the lease: %v", l)
+	}
+}
+
+func TestARestartShowsWhateverTheClockDoes(t *testing.T) {
+	c := newList(t, 1)
+	again := instance(0)
+	again.Owner, again.UpSince = "restarted", 2000
+	if l := register(t, c, time.Second, again); len(l.Members) != 1 || l.Members[0].UpSince != 2000 {
+		t.Fatalf("a restart: %+v", l)
+	}
+	late := instance(0)
+	late.Owner, late.UpSince = "late", 1500 // its clock has been set back
+	if _, err := c.Register(2*time.Second, 5000, late); err == nil {
+		t.Error("a process that started before the present one took its id")
+	}
+	if l := register(t, c, time.Minute, late); l.Members[0].UpSince <= 2000 {
+		t.Errorf("a restart does not show: up since %d after 2000", l.Members[0].UpSince)
+	}
+}
+
+func TestAnAddressHasOneOwner(t *testing.T) {
+	c := newList(t, 1)
+	twin := instance(1)
+	twin.Addr = instance(0).Addr
+	var conflict *Conflict
+	if _, err := c.Register(time.Second, 5000, twin); !errors.As(err, &conflict) || conflict.Holder != instance(0).ID {
+		t.Fatalf("an address was given twice: %v", err)
+	}
+	l := register(t, c, ttl, twin)
+	if len(l.Members) != 2 || c.Len() != 1 {
+		t.Errorf("the address's old holder is not withdrawn: %+v", l)
+	}
+}
+
+// A list of several changes comes in the order of ids, in which an address may change hands both ways.
+func TestAddressesThatAreSwappedInOneList(t *testing.T) {
+	c := newList(t, 2)
+	a, b := instance(0), instance(1)
+	a.Phase, b.Phase = Serving, Serving
+	a.Addr, b.Addr = b.Addr, a.Addr
+	c.Apply(0, List{Revision: c.Head() + 1, Members: []Member{a, b}})
+	for _, m := range []Member{a, b} {
+		twin := instance(5)
+		twin.Addr = m.Addr
+		if _, err := c.Register(time.Second, 5000, twin); err == nil {
+			t.Errorf("the address of %s was given twice", m.ID)
+		}
+	}
+}
+
+func TestBadClaims(t *testing.T) {
+	c := newList(t, 1)
+	for name, spoil := range map[string]func(*Member){
+		"no id":         func(m *Member) { m.ID = "" },
+		"long id":       func(m *Member) { m.ID = string(make([]byte, 65)) },
+		"id with slash": func(m *Member) { m.ID = "a/b" },
+		"no owner":      func(m *Member) { m.Owner = "" },
+		"bad phase":     func(m *Member) { m.Phase = "READY" },
+		"deleted":       func(m *Member) { m.Phase = Deleted },
+		"no port":       func(m *Member) { m.Addr = "10.0.0.1" },
+		"port 0":        func(m *Member) { m.Addr = "10.0.0.1:0" },
+		"huge port":     func(m *Member) { m.Addr = "10.0.0.1:65536" },
+		"no host":       func(m *Member) { m.Addr = ":80" },
+		"bad cell":      func(m *Member) { m.Cell = -1 },
+		"bad size":      func(m *Member) { m.Size = -1 },
+		"short lease":   func(m *Member) { m.LeaseMS = 1 },
+		"endless lease": func(m *Member) { m.LeaseMS = 1 << 62 },
+	} {
+		m := instance(7)
+		spoil(&m)
+		if l, err := c.Register(0, 5000, m); err == nil {
+			t.Errorf("%s: granted as %+v", name, l)
+		}
+	}
+	if c.Head() != firstOf(17)+1 || c.Len() != 1 {
+		t.Errorf("bad claims changed the list: revision %d, %d instances", c.Head(), c.Len())
+	}
+}
+
+func TestTheListIsBounded(t *testing.T) {
+	opt := DefaultOptions()
+	opt.MaxInstances = 2
+	c := NewCatalog(opt)
+	register(t, c, 0, instance(0))
+	register(t, c, 0, instance(1))
+	if _, err := c.Register(0, 0, instance(2)); !errors.Is(err, ErrFull) {
+		t.Errorf("a third of two: %v", err)
+	}
+}
+
+// An instance that registers again keeps the phase that operators gave it.
+func TestAPhaseOutlastsAClaim(t *testing.T) {
+	c := newList(t, 1)
+	l, err := c.SetPhase(0, instance(0).ID, "", Draining)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.apply(0, l)
+	register(t, c, time.Second, instance(0))
+	if got := c.Whole().Members[0].Phase; got != Draining {
+		t.Errorf("phase %s", got)
+	}
+}
+
+// When most go silent at once the server holds on to them; when they come back it does not drop the slower ones;
+// and those that stay away then lapse.
+func TestMostLeasesAtOnce(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		const count = 40
+		c := newList(t, count)
+		next := make([]time.Duration, count)
+		for n := range next {
+			next[n] = rand.N(ttl / 3)
+		}
+		cut, back := 30*time.Second, 90*time.Second
+		stays := func(n int) bool { return n%4 == 0 } // away for good
+		for at := time.Duration(0); at < 3*time.Minute; at += 100 * time.Millisecond {
+			for n := range next {
+				silent := at >= cut && (at < back || stays(n))
+				if at < next[n] || silent {
+					continue
+				}
+				next[n] = at + ttl/4 + time.Duration(rng.Int64N(int64(ttl/6)))
+				if _, err := c.Renew(at, instance(n).ID, instance(n).Owner); err != nil {
+					t.Fatalf("seed %d: %v at %v", seed, err, at)
+				}
+			}
+			lapse1(c, at)
+			if at < back+ttl && c.Len() != count {
+				t.Fatalf("seed %d: %d of %d left at %v", seed, c.Len(), count, at)
+			}
+			if at == back-time.Second && !c.Preserving() {
+				t.Fatalf("seed %d: nothing held back at %v", seed, at)
+			}
+		}
+		if c.Len() != count*3/4 || c.Preserving() {
+			t.Errorf("seed %d: %d left in the end, preserving %v", seed, c.Len(), c.Preserving())
+		}
+	}
+}
+
+func TestHoldingBackHasAnEnd(t *testing.T) {
+	c := newList(t, 10)
+	for at := time.Duration(0); at < c.opt.PreserveFor+ttl; at += time.Second {
+		if lapse1(c, at) != 0 {
+			t.Fatalf("lapsed at %v", at)
+		}
+	}
+	if lapse1(c, c.opt.PreserveFor+2*ttl) != 10 {
+		t.Error("never let go")
+	}
+}
+
+func TestGraceAfterAStart(t *testing.T) {
+	c := newList(t, 3)
+	again := NewCatalog(DefaultOptions())
+	at := time.Hour
+	again.Apply(at, c.Whole())
+	again.Grace(at)
+	if again.Lapse(at+ttl+again.opt.Grace-1).Revision != 0 {
+		t.Error("lapsed before the grace was over")
+	}
+	if !reflect.DeepEqual(again.Whole(), c.Whole()) {
+		t.Errorf("got %+v, want %+v", again.Whole(), c.Whole())
+	}
+}
--- /dev/null
+++ b/internal/registry/console.go
@@ -0,0 +1,68 @@
+package registry
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const (
+	promoteTimeout = peerTimeout + orderTimeout
+	// A follower that has not heard from its primary for so long is no good copy to send new readers to.
+	staleAfter = 10 * time.Second
+)
+
+// Console answers operators.
+func (s *Server) Console() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ops/readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if why := s.notReady(); why != "" {
+			http.Error(w, why, http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		if _, err := w.Write(s.text()); err != nil {
+			s.log.Debug("figures not taken", "err", err)
+		}
+	})
+	mux.HandleFunc("PUT /ops/promote", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), promoteTimeout)
+		defer cancel()
+		if _, err := s.Promote(ctx); err != nil {
+			s.refuse(w, err)
+			return
+		}
+		s.answer(w, s.status())
+	})
+	mux.HandleFunc("PUT /ops/instances/phase", func(w http.ResponseWriter, r *http.Request) {
+		id, phase := r.URL.Query().Get("id"), r.URL.Query().Get("phase")
+		s.order(w, r, func(now time.Duration) (List, any, error) {
+			l, err := s.cat.SetPhase(now, id, "", phase)
+			return l, nil, err
+		})
+	})
+	mux.HandleFunc("PUT /ops/instances/withdraw", func(w http.ResponseWriter, r *http.Request) {
+		id := r.URL.Query().Get("id")
+		s.order(w, r, func(now time.Duration) (List, any, error) {
+			l, err := s.cat.Withdraw(now, id, "")
+			return l, nil, err
+		})
+	})
+	return mux
+}
+
+// notReady tells why no new reader should be sent here, if so.
+func (s *Server) notReady() string {
+	switch {
+	case s.feed.head() == 0:
+		return errNoList.Error()
+	case s.is(roleUnconfirmed):
+		return errUnconfirmed.Error()
+	case s.is(roleFollower) && s.silent() > staleAfter:
+		return "the primary is silent"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/registry/failover_test.go
@@ -0,0 +1,138 @@
+package registry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func inSync(a, b *site) func() bool {
+	return func() bool { return a.s.feed.head() == b.s.feed.head() }
+}
+
+func TestAFollowerServesWhileThePrimaryIsOut(t *testing.T) {
+	a, b := pair(t)
+	for n := range 5 {
+		a.register(n, 60_000)
+	}
+	eventually(t, "the follower has it all", inSync(a, b))
+	want := a.list()
+	w := b.watch(0)
+	w.next(t)
+	if code, said := b.call("PUT", "/registry/instances/s9", claimOf(9, 60_000)); code != 421 || !strings.Contains(said, a.addr) {
+		t.Errorf("a follower takes a write: %d %s", code, said)
+	}
+	a.stop()
+	if got := b.list(); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("was %+v, is %+v", want, got)
+	}
+	a = a.again()
+	eventually(t, "the primary is confirmed", func() bool { return a.s.is(rolePrimary) })
+	a.register(7, 60_000)
+	if l := w.next(t); len(l.Members) != 1 || l.Members[0].ID != "s7" {
+		t.Errorf("the follower's watcher is told %+v", l)
+	}
+}
+
+// A restart of both: a follower keeps its list, and a follower with an empty folder claims none.
+func TestAFollowerStartsFromItsFolder(t *testing.T) {
+	a, b := pair(t)
+	a.register(1, 60_000)
+	eventually(t, "the follower has it all", inSync(a, b))
+	want := a.list()
+	a.stop()
+	b = b.again()
+	if got := b.list(); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("was %+v, is %+v", want, got)
+	}
+	b.stop()
+	b.cfg.State = t.TempDir()
+	b = b.again()
+	if code, said := b.call("GET", "/registry/instances", ""); code != 503 {
+		t.Errorf("a follower that knows nothing tells %d %s", code, said)
+	}
+}
+
+// A primary that comes back after a promotion is told so before it takes a write, loses what nobody else has heard,
+// and follows; watchers of either only see revisions rise.
+func TestAPrimaryReturnsAfterAPromotion(t *testing.T) {
+	a, b := pair(t)
+	a.register(1, 60_000)
+	eventually(t, "the follower has it all", inSync(a, b))
+	b.stop()
+	a.register(2, 60_000) // that the follower never hears
+	w := a.watch(0)
+	w.next(t)
+	a.stop()
+	b = b.again()
+	code, said := b.operate("PUT", "/ops/promote")
+	if code != 200 {
+		t.Fatalf("promote: %d %s", code, said)
+	}
+	b.register(3, 60_000)
+	if code, _ := b.operate("PUT", "/ops/promote"); code != 409 {
+		t.Errorf("promoted twice: %d", code)
+	}
+	if b.s.feed.head() <= w.at {
+		t.Fatalf("revision %d after %d", b.s.feed.head(), w.at)
+	}
+	moved := b.watch(w.at) // as a node does that has lost the old primary
+	if l := moved.next(t); !l.Complete || len(l.Members) != 2 {
+		t.Errorf("a watcher of the old epoch is told %+v", l)
+	}
+	a = a.again()
+	for a.s.role.Load() == roleUnconfirmed {
+		if code, _ := a.call("PUT", "/registry/instances/s4", claimOf(4, 60_000)); code < 400 {
+			t.Fatalf("the old primary takes a write: %d", code)
+		}
+	}
+	eventually(t, "the old primary follows", inSync(a, b))
+	if code, said := a.call("PUT", "/registry/instances/s4", claimOf(4, 60_000)); code != 421 || !strings.Contains(said, b.addr) {
+		t.Errorf("the old primary takes a write: %d %s", code, said)
+	}
+	if got, want := a.list(), b.list(); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("the old primary tells %+v, the present one %+v", got, want)
+	}
+	a = a.again()
+	eventually(t, "it follows after a restart as well", func() bool { return a.s.is(roleFollower) && inSync(a, b)() })
+}
+
+// While nobody can tell a primary that started whether it still is one, it takes no writes, and nothing lapses.
+func TestAPrimaryThatIsNotConfirmed(t *testing.T) {
+	a, b := pair(t)
+	a.register(1, 60_000)
+	eventually(t, "the follower has it all", inSync(a, b))
+	b.stop()
+	a = a.again()
+	if code, said := a.call("PUT", "/registry/instances/s2", claimOf(2, 60_000)); code != 503 || !strings.Contains(said, "confirmed") {
+		t.Errorf("got %d %s", code, said)
+	}
+	if code, _ := a.operate("GET", "/ops/readiness"); code != 503 {
+		t.Errorf("ready: %d", code)
+	}
+	if l := a.list(); len(l.Members) != 1 {
+		t.Errorf("reads go on: %+v", l)
+	}
+	if code, said := a.operate("PUT", "/ops/promote"); code != 200 { // the operator knows better
+		t.Fatalf("promote: %d %s", code, said)
+	}
+	a.register(2, 60_000)
+	b = b.again()
+	eventually(t, "the other follows", inSync(a, b))
+	if !b.s.is(roleFollower) {
+		t.Errorf("it is the %v", b.s.role.Load())
+	}
+}
+
+func TestAFollowersLagIsTold(t *testing.T) {
+	a, b := pair(t)
+	a.register(1, 60_000)
+	eventually(t, "the follower has it all", inSync(a, b))
+	eventually(t, "the primary tells of it", func() bool {
+		_, text := a.operate("GET", "/ops/stats")
+		return strings.Contains(text, "registry.followers:1|g") && strings.Contains(text, "registry.lag_revisions:0|g")
+	})
+	if code, _ := b.operate("GET", "/ops/readiness"); code != 204 {
+		t.Errorf("ready: %d", code)
+	}
+}
--- /dev/null
+++ b/internal/registry/history.go
@@ -0,0 +1,80 @@
+package registry
+
+import (
+	"maps"
+	"slices"
+)
+
+// maxHistory bounds how many changes are kept for watchers that come with an older revision.
+const maxHistory = 4096
+
+// History is what watchers can be told: the list, and what changed on the way to it.
+//
+// Invariant: every change after floor is in ring, in order.
+type History struct {
+	head    Revision
+	floor   Revision
+	past    lineage
+	members map[string]Member
+	ring    []change
+}
+
+type change struct {
+	rev Revision
+	m   Member
+}
+
+// NewHistory knows nothing yet.
+func NewHistory() *History { return &History{members: map[string]Member{}} }
+
+// Add takes over what the catalog has applied. Nothing leads to a whole list but the list itself.
+func (h *History) Add(l List) {
+	if l.Complete {
+		h.ring, h.floor = nil, l.Revision
+		clear(h.members)
+	}
+	for _, m := range l.Members {
+		if h.members[m.ID] = m; m.Phase == Deleted {
+			delete(h.members, m.ID)
+		}
+		if !l.Complete {
+			h.ring = append(h.ring, change{l.Revision, m})
+		}
+	}
+	if over := len(h.ring) - maxHistory; over > 0 {
+		h.floor = h.ring[over-1].rev
+		h.ring = slices.Delete(h.ring, 0, over)
+	}
+	if l.Complete || l.Lineage != nil {
+		h.past = l.Lineage
+	}
+	h.head = l.Revision
+}
+
+// tells whether what changed after a revision is known.
+func (h *History) tells(after Revision) bool {
+	return after >= h.floor && after > 0 && h.past.holds(after, h.head)
+}
+
+// Since is what leads from a revision to the list of now: the latest state of all that changed, or the whole list
+// when that can't be told.
+func (h *History) Since(after Revision) List {
+	if !h.tells(after) {
+		l := List{Revision: h.head, Complete: true, Members: slices.AppendSeq([]Member{}, maps.Values(h.members)), Lineage: h.past}
+		slices.SortFunc(l.Members, byID)
+		return l
+	}
+	l := List{Revision: h.head, Members: []Member{}, Lineage: h.past}
+	told := map[string]bool{}
+	for _, c := range slices.Backward(h.ring) {
+		if c.rev <= after {
+			break
+		}
+		if !told[c.m.ID] {
+			told[c.m.ID] = true
+			l.Members = append(l.Members, c.m)
+		}
+	}
+	slices.SortFunc(l.Members, byID)
+	return l
+}
--- /dev/null
+++ b/internal/registry/list.go
@@ -0,0 +1,155 @@
+package registry
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Phases of an instance. The last is used among changes only.
+const (
+	Serving  = "SERVING"
+	Draining = "DRAINING"
+	Deleted  = "DELETED"
+)
+
+const (
+	maxWord    = 64  // bytes of an id, an owner, a locality or a flavor
+	maxAddr    = 128 // bytes of a host_port
+	maxCell    = 1 << 20
+	maxSize    = 1e9
+	minLease   = time.Second
+	maxLease   = 10 * time.Minute
+	maxUpSince = int64(1) << 53
+)
+
+// Instance is an entry of the list as watchers are told of it.
+type Instance struct {
+	ID       string  `json:"id"`
+	Addr     string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// Member is an instance with the lease it is listed under. Only servers tell each other of leases.
+type Member struct {
+	Instance
+	Owner   string `json:"owner,omitempty"`
+	LeaseMS int64  `json:"lease_ms,omitempty"`
+}
+
+// List is the list of one revision, or what changed up to it. It is also the form in which the log holds changes and
+// in which a follower hears of them, with Lineage then.
+type List struct {
+	Revision Revision `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+	Lineage  lineage  `json:"lineage,omitempty"`
+}
+
+// public is the list as anybody may see it.
+func (l List) public() any {
+	bare := struct {
+		Revision Revision   `json:"revision"`
+		Complete bool       `json:"complete"`
+		Members  []Instance `json:"members"`
+	}{l.Revision, l.Complete, make([]Instance, len(l.Members))}
+	for i, m := range l.Members {
+		bare.Members[i] = m.Instance
+	}
+	return bare
+}
+
+// line is the list in one line, with or without what only servers are told.
+func (l List) line(leases bool) ([]byte, error) {
+	var form any = l
+	if !leases {
+		form = l.public()
+	}
+	raw, err := json.Marshal(form)
+	return append(raw, '\n'), err
+}
+
+// readList reads a line of another server or a record of the log.
+func readList(raw []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return l, fmt.Errorf("list: %w", err)
+	}
+	if l.Revision < 0 || l.Revision.Epoch() > maxEpoch {
+		return l, fmt.Errorf("list: impossible revision %d", l.Revision)
+	}
+	for _, m := range l.Members {
+		if err := m.check(); err != nil {
+			return l, fmt.Errorf("list: revision %d: %w", l.Revision, err)
+		}
+		if l.Complete && m.Phase == Deleted {
+			return l, fmt.Errorf("list: revision %d: %s is deleted in a whole list", l.Revision, m.ID)
+		}
+	}
+	return l, nil
+}
+
+// byID orders members, so that equal lists are equal to the byte.
+func byID(a, b Member) int { return cmp.Compare(a.ID, b.ID) }
+
+// check tells what is wrong with a member.
+func (m Member) check() error {
+	if m.Phase != Serving && m.Phase != Draining && m.Phase != Deleted {
+		return fmt.Errorf("phase %q is not known: %s or %s", m.Phase, Serving, Draining)
+	}
+	lease := time.Duration(m.LeaseMS) * time.Millisecond
+	if lease < minLease || lease > maxLease || m.LeaseMS > maxLease.Milliseconds() {
+		return fmt.Errorf("lease_ms is %d: from %d to %d", m.LeaseMS, minLease.Milliseconds(), maxLease.Milliseconds())
+	}
+	return errors.Join(
+		checkWord("id", m.ID), checkWord("owner", m.Owner), checkWord("locality", m.Locality),
+		checkWord("flavor", m.Flavor), checkAddr(m.Addr), checkNumbers(m.Instance),
+	)
+}
+
+func checkWord(name, word string) error {
+	if word == "" || len(word) > maxWord {
+		return fmt.Errorf("%s has %d bytes: from 1 to %d", name, len(word), maxWord)
+	}
+	if slices.ContainsFunc([]byte(word), func(b byte) bool { return b <= ' ' || b > '~' || b == '/' }) {
+		return fmt.Errorf("%s %q has a sign other than visible ASCII, or a slash", name, word)
+	}
+	return nil
+}
+
+func checkAddr(addr string) error {
+	if len(addr) > maxAddr {
+		return fmt.Errorf("host_port has %d bytes, %d at most", len(addr), maxAddr)
+	}
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("host_port %q: %w", addr, err)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("host_port %q: the port is no number from 1 to 65535", addr)
+	}
+	return checkWord("the host of host_port", host)
+}
+
+func checkNumbers(i Instance) error {
+	switch {
+	case i.Cell < 0 || i.Cell > maxCell:
+		return fmt.Errorf("cell is %d: from 0 to %d", i.Cell, maxCell)
+	case !(i.Size > 0 && i.Size <= maxSize) || math.IsInf(i.Size, 0):
+		return fmt.Errorf("size is %v: over 0, up to %v", i.Size, maxSize)
+	case i.UpSince < 0 || i.UpSince > maxUpSince:
+		return fmt.Errorf("up_since_ms is %d: from 0 to %d", i.UpSince, maxUpSince)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/registry/peers.go
@@ -0,0 +1,231 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"starlingusher/internal/listwatch"
+)
+
+const (
+	peerPause   = time.Second // between asks of the other servers, with jitter
+	peerTimeout = time.Second
+	peerForgets = 5 * time.Second // what a server said so long ago is no longer known
+)
+
+// status is what servers tell each other, and whoever asks.
+type status struct {
+	Number    int      `json:"number"`
+	Role      role     `json:"role"`
+	Epoch     Epoch    `json:"epoch"`
+	Revision  Revision `json:"revision"`
+	Instances int64    `json:"instances"`
+	Primary   string   `json:"primary,omitempty"` // whom a follower follows
+}
+
+// peers is what is known of the other servers.
+type peers struct {
+	others []string // addresses
+
+	mu   sync.Mutex
+	last map[string]heardStatus
+}
+
+type heardStatus struct {
+	status
+	at time.Time
+}
+
+func newPeers(cfg Config) *peers {
+	p := &peers{last: map[string]heardStatus{}}
+	for i, addr := range cfg.Peers {
+		if i != cfg.Number {
+			p.others = append(p.others, addr)
+		}
+	}
+	return p
+}
+
+func (p *peers) heard(addr string, st status) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.last[addr] = heardStatus{st, time.Now()}
+}
+
+// known are the servers that have told their state of late.
+func (p *peers) known() map[string]status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]status{}
+	for addr, h := range p.last {
+		if time.Since(h.at) < peerForgets {
+			out[addr] = h.status
+		}
+	}
+	return out
+}
+
+// primary is the address of the present one, empty if none is known: of several, that of the latest epoch.
+func (p *peers) primary() string {
+	known := p.known()
+	var best string
+	for _, addr := range slices.Sorted(maps.Keys(known)) {
+		if st := known[addr]; st.Role == rolePrimary && (best == "" || st.Epoch > known[best].Epoch) {
+			best = addr
+		}
+	}
+	return best
+}
+
+// latest is the latest epoch that another server has.
+func latest(known map[string]status) Epoch {
+	var e Epoch
+	for _, st := range known {
+		e = max(e, st.Epoch)
+	}
+	return e
+}
+
+// status is what this server tells.
+func (s *Server) status() status {
+	head := s.feed.head()
+	st := status{
+		Number: s.cfg.Number, Role: s.role.Load().(role), Epoch: head.Epoch(), Revision: head,
+		Instances: s.figures.instances.Load(),
+	}
+	if st.Role == roleFollower {
+		st.Primary = s.peers.primary()
+	}
+	return st
+}
+
+// askPeers keeps asking the other servers, and lets the loop draw the conclusions.
+func (s *Server) askPeers(ctx context.Context) {
+	if len(s.peers.others) == 0 {
+		return
+	}
+	for ctx.Err() == nil {
+		s.askAll(ctx)
+		if _, err := s.do(ctx, order{plan: s.conclude}); err != nil && ctx.Err() == nil {
+			s.log.Error("the role could not be settled", "err", err)
+		}
+		pause(ctx, jittered(peerPause))
+	}
+}
+
+// askAll asks all the other servers once, and returns the latest epoch among them.
+func (s *Server) askAll(ctx context.Context) Epoch {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var asks sync.WaitGroup
+	for _, addr := range s.peers.others {
+		asks.Go(func() {
+			st, err := s.ask(ctx, addr)
+			if err != nil {
+				s.log.Debug("another server does not answer", "addr", addr, "err", err)
+				return
+			}
+			s.peers.heard(addr, st)
+		})
+	}
+	asks.Wait()
+	return latest(s.peers.known())
+}
+
+func (s *Server) ask(ctx context.Context, addr string) (status, error) {
+	var st status
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/registry/status", nil)
+	if err != nil {
+		return st, err
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return st, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return st, fmt.Errorf("status: %s", resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxClaim)).Decode(&st); err != nil {
+		return st, fmt.Errorf("status: %w", err)
+	}
+	if st.Epoch < 0 || st.Epoch > maxEpoch || st.Number == s.cfg.Number {
+		return st, fmt.Errorf("status: impossible epoch %d of server %d", st.Epoch, st.Number)
+	}
+	return st, nil
+}
+
+// conclude settles the role by what is known of the others: a later epoch ends this server's.
+func (s *Server) conclude(now time.Duration) (List, any, error) {
+	known := s.peers.known()
+	switch later := latest(known) > s.cat.Head().Epoch(); {
+	case s.is(roleFollower):
+	case later:
+		s.log.Warn("deposed: another server owns a later epoch", "own", s.cat.Head().Epoch(), "latest", latest(known))
+		s.role.Store(roleFollower)
+	case s.is(roleUnconfirmed) && (len(known) == len(s.peers.others) || len(known) > 0 && now > confirmAfter):
+		return List{}, nil, s.confirm(now)
+	}
+	return List{}, nil, nil
+}
+
+// follow copies the primary's list while this server is a follower.
+func (s *Server) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		addr := s.peers.primary()
+		if !s.is(roleFollower) || addr == "" {
+			pause(ctx, jittered(tick))
+			continue
+		}
+		here, cancel := context.WithCancel(ctx)
+		url := fmt.Sprintf("http://%s/registry/instances?watch=1&replica=1&after=%d", addr, s.feed.head())
+		err := listwatch.Lines(here, s.client, url, func() {
+			s.figures.heard.Store(time.Now().UnixNano())
+			if !s.is(roleFollower) || s.peers.primary() != addr {
+				cancel()
+			}
+		}, func(line []byte) error {
+			l, err := readList(line)
+			if err == nil {
+				_, err = s.do(here, order{plan: func(time.Duration) (List, any, error) { return s.copied(l) }})
+			}
+			return err
+		})
+		cancel()
+		if ctx.Err() == nil {
+			s.log.Info("the primary's watch has ended", "addr", addr, "err", err)
+		}
+		pause(ctx, jittered(2*tick))
+	}
+}
+
+// copied takes over a list of the primary's, unless it is older than what is known: then it comes from a server that
+// has been deposed, or has lost its folder.
+func (s *Server) copied(l List) (List, any, error) {
+	switch head := s.cat.Head(); {
+	case !s.is(roleFollower):
+		return List{}, nil, errPrimary
+	case l.Revision < head:
+		return List{}, nil, fmt.Errorf("%w: %d after %d", errBehind, l.Revision, head)
+	case l.Revision == head:
+		return List{}, nil, nil
+	}
+	return l, nil, nil
+}
+
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/registry/reports.go
@@ -0,0 +1,183 @@
+package registry
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+const (
+	reportsName       = "reports"
+	defaultMaxReports = 16 << 20
+	maxReportID       = 512
+	maxReportPage     = 1 << 20
+)
+
+// notice is how a message ended that a node took on and did not deliver.
+type notice struct {
+	Seq     int64  `json:"seq,omitempty"`
+	AtMS    int64  `json:"at_ms,omitempty"`
+	ID      string `json:"id"`
+	State   string `json:"state"`
+	AfterMS int64  `json:"after_ms,omitempty"`
+}
+
+// readNotices reads a post, one notice a line.
+func readNotices(body []byte) ([]notice, error) {
+	var out []notice
+	for line := range bytes.Lines(body) {
+		if line = bytes.TrimSpace(line); len(line) == 0 {
+			continue
+		}
+		n := notice{}
+		if err := json.Unmarshal(line, &n); err != nil {
+			return nil, fmt.Errorf("notice %d: %w", len(out)+1, err)
+		}
+		switch {
+		case n.ID == "" || len(n.ID) > maxReportID:
+			return nil, fmt.Errorf("notice %d: id has %d bytes: from 1 to %d", len(out)+1, len(n.ID), maxReportID)
+		case n.State != "failed" && n.State != "returned":
+			return nil, fmt.Errorf("notice %d: state %q is not known: failed or returned", len(out)+1, n.State)
+		case n.AfterMS < 0:
+			return nil, fmt.Errorf("notice %d: after_ms is %d", len(out)+1, n.AfterMS)
+		}
+		out = append(out, n)
+	}
+	return out, nil
+}
+
+// reports keeps the notices for whoever tells the clients, in two files of which the older one is dropped when the
+// newer one is full. What was taken outlasts the process; nothing is synced, for the node keeps no more than that.
+type reports struct {
+	mu    sync.Mutex
+	path  string
+	most  int64
+	f     *os.File
+	size  int64
+	first int64 // the number that the newer file begins after
+	next  int64
+}
+
+func openReports(dir string, most int64) (*reports, error) {
+	if most <= 0 {
+		most = defaultMaxReports
+	}
+	r := &reports{path: filepath.Join(dir, reportsName), most: most, next: 1}
+	for _, path := range []string{r.path + ".old", r.path} {
+		if err := r.scan(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return nil, fmt.Errorf("reports: %w", err)
+		}
+	}
+	f, err := os.OpenFile(r.path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("reports: %w", err)
+	}
+	if r.f = f; f.Truncate(r.size) != nil { // a line that a kill has torn
+		return nil, errors.Join(fmt.Errorf("reports: the torn end can't be cut"), f.Close())
+	}
+	return r, nil
+}
+
+// scan finds the last number in a file, and the end of its last whole line.
+func (r *reports) scan(path string) error {
+	r.size, r.first = 0, r.next-1
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	lines := bufio.NewReader(f)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		var n notice
+		if err := json.Unmarshal(line, &n); err != nil {
+			return fmt.Errorf("%s at byte %d: %w", path, r.size, err)
+		}
+		r.next = max(r.next, n.Seq+1)
+		r.size += int64(len(line))
+	}
+}
+
+// add keeps notices; after an error none of them.
+func (r *reports) add(at time.Time, notices []notice) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var b bytes.Buffer
+	lines := json.NewEncoder(&b)
+	for i, n := range notices {
+		n.Seq, n.AtMS = r.next+int64(i), at.UnixMilli()
+		if err := lines.Encode(n); err != nil {
+			return fmt.Errorf("reports: %w", err)
+		}
+	}
+	if r.size > 0 && r.size+int64(b.Len()) > r.most/2 {
+		if err := r.turn(); err != nil {
+			return fmt.Errorf("reports: %w", err)
+		}
+	}
+	if _, err := r.f.WriteAt(b.Bytes(), r.size); err != nil {
+		return fmt.Errorf("reports: %w", errors.Join(err, r.f.Truncate(r.size)))
+	}
+	r.size += int64(b.Len())
+	r.next += int64(len(notices))
+	return nil
+}
+
+// turn begins a new file.
+func (r *reports) turn() error {
+	if err := os.Rename(r.path, r.path+".old"); err != nil {
+		return err
+	}
+	f, err := os.OpenFile(r.path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return errors.Join(err, os.Rename(r.path+".old", r.path))
+	}
+	old := r.f
+	r.f, r.size, r.first = f, 0, r.next-1
+	return old.Close()
+}
+
+// since is a page of the notices after a number.
+func (r *reports) since(after int64) ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var page bytes.Buffer
+	for _, path := range []string{r.path + ".old", r.path} {
+		if path != r.path && after >= r.first {
+			continue
+		}
+		raw, err := os.ReadFile(path)
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("reports: %w", err)
+		}
+		for line := range bytes.Lines(raw) {
+			var n notice
+			if json.Unmarshal(line, &n) != nil || n.Seq <= after {
+				continue
+			}
+			if page.Len()+len(line) > maxReportPage {
+				return page.Bytes(), nil
+			}
+			page.Write(line)
+		}
+	}
+	return page.Bytes(), nil
+}
+
+func (r *reports) close() error { return r.f.Close() }
--- /dev/null
+++ b/internal/registry/server_test.go
@@ -0,0 +1,627 @@
+package registry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second
+
+// site is a server of a test on loopback sockets.
+type site struct {
+	t       *testing.T
+	cfg     Config
+	addr    string
+	console string
+	s       *Server
+	stop    func()
+}
+
+func testConfig(t *testing.T) Config {
+	return Config{
+		Bootstrap: true, State: t.TempDir(), Options: DefaultOptions(), Coalesce: time.Millisecond, MaxWatchers: 64,
+	}
+}
+
+func listen(t *testing.T, addr string) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// start runs a server until the test ends, or stop is called.
+func start(t *testing.T, cfg Config, ln net.Listener) *site {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(t.Output(), nil))
+	s, err := New(cfg, log)
+	if err != nil {
+		ln.Close()
+		t.Fatal(err)
+	}
+	console := listen(t, "127.0.0.1:0")
+	ctx, cancel := context.WithCancel(context.Background())
+	fronts := []*http.Server{s.HTTPServer(s.Handler(), 200, log), s.HTTPServer(s.Console(), 16, log)}
+	ended := make(chan error, 3)
+	go func() { ended <- fronts[0].Serve(ln) }()
+	go func() { ended <- fronts[1].Serve(console) }()
+	go func() { ended <- s.Run(ctx) }()
+	done := false
+	at := &site{t: t, cfg: cfg, addr: ln.Addr().String(), console: console.Addr().String(), s: s}
+	at.stop = func() {
+		if done {
+			return
+		}
+		done = true
+		cancel()
+		for _, f := range fronts {
+			f.Close()
+		}
+		for range 3 {
+			if err := <-ended; err != nil && err != http.ErrServerClosed {
+				t.Errorf("a server ends with %v", err)
+			}
+		}
+	}
+	t.Cleanup(at.stop)
+	return at
+}
+
+// again starts the server on the same folder and address.
+func (a *site) again() *site {
+	a.t.Helper()
+	a.stop()
+	return start(a.t, a.cfg, listen(a.t, a.addr))
+}
+
+// pair are two servers that know each other; the first has begun a list.
+func pair(t *testing.T) (*site, *site) {
+	t.Helper()
+	lns := []net.Listener{listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")}
+	var sites [2]*site
+	for i := range sites {
+		cfg := testConfig(t)
+		cfg.Number, cfg.Bootstrap = i, i == 0
+		cfg.Peers = []string{lns[0].Addr().String(), lns[1].Addr().String()}
+		sites[i] = start(t, cfg, lns[i])
+	}
+	eventually(t, "the first is the primary", func() bool { return sites[0].s.is(rolePrimary) })
+	return sites[0], sites[1]
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// call makes a call and returns status and body.
+func call(t *testing.T, method, url, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Close = true // a kept connection may be to a server that has ended
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(raw)
+}
+
+func (a *site) call(method, path, body string) (int, string) {
+	a.t.Helper()
+	return call(a.t, method, "http://"+a.addr+path, body)
+}
+
+func (a *site) operate(method, path string) (int, string) {
+	a.t.Helper()
+	return call(a.t, method, "http://"+a.console+path, "")
+}
+
+// claimOf is a good registration.
+func claimOf(n int, leaseMS int) string {
+	return fmt.Sprintf(`{"host_port":"127.0.0.1:%d","locality":"a","flavor":"m","cell":3,"owner":"p%d","lease_ms":%d}`, 1000+n, n, leaseMS)
+}
+
+func (a *site) register(n, leaseMS int) {
+	a.t.Helper()
+	if code, said := a.call("PUT", fmt.Sprintf("/registry/instances/s%d", n), claimOf(n, leaseMS)); code != 200 {
+		a.t.Fatalf("register: %d %s", code, said)
+	}
+}
+
+func (a *site) list() List {
+	a.t.Helper()
+	code, text := a.call("GET", "/registry/instances", "")
+	if code != 200 {
+		a.t.Fatalf("list: %d %s", code, text)
+	}
+	return parse(a.t, text)
+}
+
+func parse(t *testing.T, text string) List {
+	t.Helper()
+	var l List
+	if err := json.Unmarshal([]byte(text), &l); err != nil {
+		t.Fatalf("%q: %v", text, err)
+	}
+	return l
+}
+
+// watching follows a server's list.
+type watching struct {
+	view
+	lines *bufio.Scanner
+	body  io.Closer
+}
+
+func (a *site) watch(after Revision) *watching {
+	a.t.Helper()
+	resp, err := http.Get(fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", a.addr, after))
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.t.Cleanup(func() { resp.Body.Close() })
+	w := &watching{view{after, map[string]Member{}}, bufio.NewScanner(resp.Body), resp.Body}
+	w.lines.Buffer(nil, 1<<22)
+	return w
+}
+
+// next takes the next line that says something.
+func (w *watching) next(t *testing.T) List {
+	t.Helper()
+	for w.lines.Scan() {
+		if text := w.lines.Text(); text != "" {
+			l := parse(t, text)
+			w.take(l)
+			return l
+		}
+	}
+	t.Fatalf("the watch has ended: %v", w.lines.Err())
+	return List{}
+}
+
+func TestAnInstanceComesAndGoes(t *testing.T) {
+	a := start(t, testConfig(t), listen(t, "127.0.0.1:0"))
+	w := a.watch(0)
+	if l := w.next(t); !l.Complete || len(l.Members) != 0 {
+		t.Fatalf("the first line is %+v", l)
+	}
+	step := func(method, path, body string, code int, phase string) {
+		t.Helper()
+		before := w.at
+		if got, said := a.call(method, path, body); got != code {
+			t.Fatalf("%s %s: %d %s", method, path, got, said)
+		}
+		if phase == "" {
+			return
+		}
+		l := w.next(t)
+		if l.Complete || len(l.Members) != 1 || l.Members[0].Phase != phase || l.Revision <= before {
+			t.Fatalf("%s %s: %+v after %d", method, path, l, before)
+		}
+		if m := l.Members[0]; m.Owner != "" || m.LeaseMS != 0 {
+			t.Errorf("a watcher is told of the lease: %+v", m)
+		}
+	}
+	step("PUT", "/registry/instances/s1", claimOf(1, 10_000), 200, Serving)
+	step("POST", "/registry/instances/s1/renew", `{"owner":"p1"}`, 200, "")
+	step("PUT", "/registry/instances/s1/phase", `{"owner":"p1","phase":"DRAINING"}`, 204, Draining)
+	step("DELETE", "/registry/instances/s1", `{"owner":"p1"}`, 204, Deleted)
+	step("POST", "/registry/instances/s1/renew", `{"owner":"p1"}`, 404, "")
+	if l := a.list(); !l.Complete || len(l.Members) != 0 || l.Revision != w.at {
+		t.Errorf("the list is %+v", l)
+	}
+}
+
+func TestALapsedLeaseIsTold(t *testing.T) {
+	cfg := testConfig(t)
+	cfg.Options.Grace = 0
+	a := start(t, cfg, listen(t, "127.0.0.1:0"))
+	w := a.watch(0)
+	w.next(t)
+	a.register(1, 1000)
+	for len(w.members) == 0 {
+		w.next(t)
+	}
+	if l := w.next(t); l.Members[0].Phase != Deleted {
+		t.Errorf("got %+v", l)
+	}
+	if _, text := a.operate("GET", "/ops/stats"); !strings.Contains(text, "registry.lapsed:1|c") {
+		t.Errorf("figures: %s", text)
+	}
+}
+
+func TestBadCallsChangeNothing(t *testing.T) {
+	a := start(t, testConfig(t), listen(t, "127.0.0.1:0"))
+	a.register(1, 10_000)
+	before := a.list()
+	const at, ok = "/registry/instances/s2", `"host_port":"127.0.0.1:9","locality":"a","flavor":"m","cell":1,"owner":"o"`
+	for _, c := range []struct {
+		method, path, body string
+		code               int
+		says               string
+	}{
+		{"PUT", at, "", 400, "EOF"},
+		{"PUT", at, "{", 400, "unexpected EOF"},
+		{"PUT", at, "[]", 400, "array"},
+		{"PUT", at, "{" + ok + "}{}", 400, "follows"},
+		{"PUT", at, "{" + ok + `,"color":1}`, 400, "color"},
+		{"PUT", at, "{" + ok + `,"phase":"READY"}`, 400, "READY"},
+		{"PUT", at, "{" + ok + `,"phase":"DELETED"}`, 400, "DELETED"},
+		{"PUT", at, "{" + ok + `,"lease_ms":5}`, 400, "lease_ms"},
+		{"PUT", at, "{" + ok + `,"size":-1}`, 400, "size"},
+		{"PUT", at, strings.Replace("{"+ok+"}", "127.0.0.1:9", "nowhere", 1), 400, "nowhere"},
+		{"PUT", at, strings.Replace("{"+ok+"}", `"cell":1,`, "", 1), 400, "cell"},
+		{"PUT", at, strings.Replace("{"+ok+"}", `"owner":"o"`, `"owner":""`, 1), 400, "owner"},
+		{"PUT", at, "{" + ok + `,"locality":"` + strings.Repeat("x", maxClaim) + `"}`, 413, "too large"},
+		{"PUT", "/registry/instances/%20", "{" + ok + "}", 400, "visible"},
+		{"PUT", "/registry/instances/s1", "{" + ok + "}", 409, "taken"},
+		{"PUT", at, strings.Replace("{"+ok+"}", "127.0.0.1:9", "127.0.0.1:1001", 1), 409, "taken"},
+		{"POST", "/registry/instances/s1/renew", `{"owner":"p2"}`, 409, "taken"},
+		{"POST", "/registry/instances/s1/renew", `{}`, 400, "owner"},
+		{"POST", "/registry/instances/s9/renew", `{"owner":"p2"}`, 404, "no such"},
+		{"PUT", "/registry/instances/s1/phase", `{"owner":"p1","phase":"GONE"}`, 400, "GONE"},
+		{"DELETE", "/registry/instances/s1", `{"owner":"p2"}`, 409, "taken"},
+		{"GET", "/registry/instances?watch=1&after=x", "", 400, "after"},
+		{"GET", "/registry/instances?watch=1&after=-1", "", 400, "after"},
+		{"POST", "/registry/instances", "", 405, ""},
+		{"GET", "/registry/else", "", 404, ""},
+		{"POST", "/reports", "{", 400, "notice 1"},
+		{"POST", "/reports", `{"id":"a","state":"failed"}` + "\n" + `{"id":"a","state":"lost"}`, 400, "notice 2"},
+		{"POST", "/reports", strings.Repeat("x", maxPost+1), 413, "too large"},
+	} {
+		if code, said := a.call(c.method, c.path, c.body); code != c.code || !strings.Contains(said, c.says) {
+			t.Errorf("%s %s %.80s: %d %s, want %d with %q", c.method, c.path, c.body, code, said, c.code, c.says)
+		}
+	}
+	for path, code := range map[string]int{
+		"/ops/instances/phase?id=s9&phase=DRAINING": 404, "/ops/instances/phase?id=s1&phase=x": 400,
+		"/ops/instances/withdraw?id=s9": 404, "/ops/promote": 409,
+	} {
+		if got, said := a.operate("PUT", path); got != code {
+			t.Errorf("%s: %d %s", path, got, said)
+		}
+	}
+	if after := a.list(); fmt.Sprint(after) != fmt.Sprint(before) {
+		t.Errorf("the list was %+v, is %+v", before, after)
+	}
+	if _, page := a.call("GET", "/reports", ""); page != "" {
+		t.Errorf("of a bad post is kept: %s", page)
+	}
+}
+
+// Clients that say nothing, or stop in the middle, are closed in time.
+func TestSilentClientsAreClosed(t *testing.T) {
+	t.Parallel()
+	a := start(t, testConfig(t), listen(t, "127.0.0.1:0"))
+	for _, text := range []string{"", "GET /registry", "PUT /registry/instances/a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{"} {
+		t.Run(fmt.Sprintf("%.12q", text), func(t *testing.T) {
+			t.Parallel()
+			nc, err := net.Dial("tcp", a.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			if _, err := io.WriteString(nc, text); err != nil {
+				t.Fatal(err)
+			}
+			if err := nc.SetDeadline(time.Now().Add(patience)); err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			if _, err := io.Copy(io.Discard, nc); err != nil {
+				t.Fatal(err)
+			}
+			if took := time.Since(began); took > 3*time.Second {
+				t.Errorf("closed after %v", took)
+			}
+		})
+	}
+}
+
+// narrow gives connections small buffers, so that a client that does not read stops the server soon.
+type narrow struct{ net.Listener }
+
+func (l narrow) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err == nil {
+		err = nc.(*net.TCPConn).SetWriteBuffer(4096)
+	}
+	return nc, err
+}
+
+// A watcher that reads nothing is closed, and nobody waits for it.
+func TestAStuckWatcherDelaysNobody(t *testing.T) {
+	t.Parallel()
+	a := start(t, testConfig(t), narrow{listen(t, "127.0.0.1:0")})
+	for n := range 400 {
+		a.register(n, 60_000)
+	}
+	stuck, err := net.Dial("tcp", a.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stuck.Close()
+	if err := stuck.(*net.TCPConn).SetReadBuffer(4096); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(stuck, "GET /registry/instances?watch=1 HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	w := a.watch(0)
+	w.next(t)
+	eventually(t, "both watch", func() bool { return a.s.figures.watchers.Load() == 2 })
+	for n := range 20 {
+		began := time.Now()
+		if code, said := a.call("PUT", fmt.Sprintf("/registry/instances/s%d/phase", n), fmt.Sprintf(`{"owner":"p%d","phase":"DRAINING"}`, n)); code != 204 {
+			t.Fatal(code, said)
+		}
+		for w.members[fmt.Sprintf("s%d", n)].Phase != Draining {
+			w.next(t)
+		}
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("change %d took %v", n, took)
+		}
+	}
+	eventually(t, "the stuck watcher is closed", func() bool { return a.s.figures.slow.Load() == 1 })
+	if got := a.s.figures.watchers.Load(); got != 1 {
+		t.Errorf("%d watchers are left", got)
+	}
+}
+
+func TestWatchersAndConnectionsAreBounded(t *testing.T) {
+	cfg := testConfig(t)
+	cfg.MaxWatchers = 2
+	a := start(t, cfg, listen(t, "127.0.0.1:0"))
+	for range 2 {
+		a.watch(0).next(t)
+	}
+	if code, said := a.call("GET", "/registry/instances?watch=1", ""); code != 503 || !strings.Contains(said, "watchers") {
+		t.Errorf("a third watcher of two: %d %s", code, said)
+	}
+	var open []net.Conn
+	defer func() {
+		for _, nc := range open {
+			nc.Close()
+		}
+	}()
+	for a.s.figures.turnedAway.Load() == 0 {
+		nc, err := net.Dial("tcp", a.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if open = append(open, nc); len(open) > 300 {
+			t.Fatal("nobody is turned away")
+		}
+	}
+}
+
+func TestALateWatcherIsToldTheChangesInOneLine(t *testing.T) {
+	a := start(t, testConfig(t), listen(t, "127.0.0.1:0"))
+	a.register(1, 60_000)
+	before := a.list().Revision
+	for n := 2; n < 8; n++ {
+		a.register(n, 60_000)
+	}
+	if l := a.watch(before).next(t); l.Complete || len(l.Members) != 6 {
+		t.Errorf("got %+v", l)
+	}
+	if l := a.watch(a.list().Revision).next(t); l.Complete || len(l.Members) != 0 {
+		t.Errorf("a watcher that is up to date is told %+v", l)
+	}
+	if l := a.watch(a.list().Revision + 5).next(t); !l.Complete || len(l.Members) != 7 {
+		t.Errorf("a watcher that is ahead is told %+v", l)
+	}
+}
+
+func TestChangesOfAShortSpanAreToldTogether(t *testing.T) {
+	cfg := testConfig(t)
+	cfg.Coalesce = 300 * time.Millisecond
+	a := start(t, cfg, listen(t, "127.0.0.1:0"))
+	w := a.watch(0)
+	w.next(t)
+	for n := range 10 {
+		a.register(n, 60_000)
+	}
+	lines := 0
+	for len(w.members) < 10 {
+		w.next(t)
+		lines++
+	}
+	if lines > 3 {
+		t.Errorf("10 changes at once are told in %d lines", lines)
+	}
+}
+
+func TestARestartKeepsTheListAndItsRevision(t *testing.T) {
+	a := start(t, testConfig(t), listen(t, "127.0.0.1:0"))
+	for n := range 5 {
+		a.register(n, 60_000)
+	}
+	before := a.list()
+	a = a.again()
+	if after := a.list(); fmt.Sprint(after) != fmt.Sprint(before) {
+		t.Errorf("was %+v, is %+v", before, after)
+	}
+	if code, said := a.call("POST", "/registry/instances/s1/renew", `{"owner":"p1"}`); code != 200 {
+		t.Errorf("renew after a restart: %d %s", code, said)
+	}
+	a.register(9, 60_000)
+	if l := a.watch(before.Revision).next(t); l.Complete || l.Revision <= before.Revision || len(l.Members) != 1 {
+		t.Errorf("over the restart a watcher is told %+v", l)
+	}
+}
+
+// What a cut tail had said may have been heard: its revisions are not given out again.
+func TestAfterATornTailRevisionsRise(t *testing.T) {
+	a := start(t, testConfig(t), listen(t, "127.0.0.1:0"))
+	a.register(1, 60_000)
+	a.register(2, 60_000)
+	heard := a.list().Revision
+	a.stop()
+	path := a.cfg.State + "/" + logName
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, raw[:len(raw)-3], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	a = a.again()
+	a.register(3, 60_000)
+	if l := a.watch(heard).next(t); !l.Complete || l.Revision <= heard || len(l.Members) != 2 {
+		t.Errorf("a watcher at %d is told %+v", heard, l)
+	}
+}
+
+func TestADiskThatIsFull(t *testing.T) {
+	a := start(t, testConfig(t), listen(t, "127.0.0.1:0"))
+	a.register(1, 60_000)
+	before := a.list()
+	full, err := os.OpenFile("/dev/full", os.O_RDWR, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := a.s.store.path
+	inLoop := func(do func()) {
+		t.Helper()
+		if _, err := a.s.do(t.Context(), order{plan: func(time.Duration) (List, any, error) { do(); return List{}, nil, nil }}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var file *os.File
+	inLoop(func() { file, a.s.store.f, a.s.store.path = a.s.store.f, full, "/nowhere/list.log" })
+	for range 3 {
+		if code, said := a.call("PUT", "/registry/instances/s2", claimOf(2, 60_000)); code != 503 {
+			t.Fatalf("a write that can't be kept: %d %s", code, said)
+		}
+	}
+	if code, _ := a.call("POST", "/registry/instances/s1/renew", `{"owner":"p1"}`); code != 200 {
+		t.Errorf("a renewal writes nothing, and is answered %d", code)
+	}
+	if after := a.list(); fmt.Sprint(after) != fmt.Sprint(before) {
+		t.Errorf("was %+v, is %+v", before, after)
+	}
+	inLoop(func() { a.s.store.path = good }) // room again
+	eventually(t, "writes are taken again", func() bool {
+		code, _ := a.call("PUT", "/registry/instances/s2", claimOf(2, 60_000))
+		return code == 200
+	})
+	file.Close()
+	before = a.list()
+	a = a.again()
+	if after := a.list(); fmt.Sprint(after) != fmt.Sprint(before) || len(after.Members) != 2 {
+		t.Errorf("was %+v, after a restart %+v", before, after)
+	}
+}
+
+func TestNoticesAreKept(t *testing.T) {
+	a := start(t, testConfig(t), listen(t, "127.0.0.1:0"))
+	post := func(id string) {
+		t.Helper()
+		if code, said := a.call("POST", "/reports", fmt.Sprintf(`{"id":%q,"state":"returned","after_ms":500}`+"\n", id)); code != 204 {
+			t.Fatalf("%d %s", code, said)
+		}
+	}
+	post("a")
+	post("b")
+	a = a.again()
+	post("c")
+	_, page := a.call("GET", "/reports?after=1", "")
+	var ids []string
+	for line := range strings.Lines(page) {
+		var n notice
+		if err := json.Unmarshal([]byte(line), &n); err != nil {
+			t.Fatal(err)
+		}
+		if n.State != "returned" || n.AfterMS != 500 || n.AtMS == 0 || n.Seq != int64(2+len(ids)) {
+			t.Errorf("got %+v", n)
+		}
+		ids = append(ids, n.ID)
+	}
+	if strings.Join(ids, "") != "bc" {
+		t.Errorf("after the first: %v", ids)
+	}
+}
+
+func TestNoticesAreBounded(t *testing.T) {
+	dir := t.TempDir()
+	const most = 16 << 10
+	r, err := openReports(dir, most)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2000 {
+		if err := r.add(time.Now(), []notice{{ID: "0123456789abcdef", State: "failed"}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := r.close(); err != nil {
+		t.Fatal(err)
+	}
+	var sum int64
+	for _, name := range []string{reportsName, reportsName + ".old"} {
+		info, err := os.Stat(dir + "/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum += info.Size()
+	}
+	if sum > most || sum < most/2 {
+		t.Errorf("%d bytes are kept", sum)
+	}
+	if err := os.WriteFile(dir+"/"+reportsName, append(must(os.ReadFile(dir+"/"+reportsName)), `{"seq":`...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if r, err = openReports(dir, most); err != nil {
+		t.Fatal(err)
+	}
+	defer r.close()
+	page, err := r.since(1990)
+	if err != nil || bytes.Count(page, []byte("\n")) != 10 || r.next != 2001 {
+		t.Errorf("got %s, %v; next %d", page, err, r.next)
+	}
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func FuzzReadNotices(f *testing.F) {
+	f.Add([]byte(`{"id":"a","state":"failed"}` + "\n" + `{"id":"b","state":"returned","after_ms":5}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		notices, err := readNotices(raw)
+		for _, n := range notices {
+			if err == nil && (n.ID == "" || len(n.ID) > maxReportID || n.AfterMS < 0) {
+				t.Errorf("took %+v", n)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/registry/store.go
@@ -0,0 +1,162 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+const (
+	logName    = "list.log"
+	lockName   = "lock"
+	minCompact = 256 << 10 // a smaller log is not worth writing anew
+	growth     = 4         // a log is written anew at so many times the size of its whole list
+)
+
+// errStoreDown is told while the log needs to be written anew before it may grow again.
+var errStoreDown = errors.New("the log can't be written")
+
+// Store is the folder that the list outlasts its process in. What Append or Compact has taken is on the disk.
+type Store struct {
+	path   string
+	lock   *os.File
+	f      *os.File
+	size   int64 // good bytes of the log
+	whole  int64 // of them, its first record
+	broken bool  // bytes that do not hold may stand behind size
+	Cut    int64 // bytes of a torn tail that were cut when the log was opened
+}
+
+// OpenStore opens the folder for this process alone and returns the lists in its log; none if it is new.
+func OpenStore(dir string) (*Store, []List, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, fmt.Errorf("store: %w", err)
+	}
+	lock, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, nil, fmt.Errorf("store: %w", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, nil, errors.Join(fmt.Errorf("store: another process has %s: %w", dir, err), lock.Close())
+	}
+	s := &Store{path: filepath.Join(dir, logName), lock: lock}
+	lists, err := s.open()
+	if err != nil {
+		return nil, nil, errors.Join(fmt.Errorf("store: %w", err), s.Close())
+	}
+	return s, lists, nil
+}
+
+func (s *Store) open() ([]List, error) {
+	// A log that was being written anew when the process ended; the old one is whole.
+	if err := os.Remove(s.path + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	raw, err := os.ReadFile(s.path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	lists, good, err := readLog(s.path, raw)
+	if err != nil {
+		return nil, err
+	}
+	if s.f, err = os.OpenFile(s.path, os.O_RDWR, 0o600); err != nil {
+		return nil, err
+	}
+	s.size, s.Cut = good, int64(len(raw))-good
+	if s.Cut > 0 {
+		if err := errors.Join(s.f.Truncate(good), s.f.Sync()); err != nil {
+			return nil, err
+		}
+	}
+	first, err := appendRecord([]byte(logMagic), lists[0])
+	s.whole = int64(len(first))
+	return lists, err
+}
+
+// Append writes changes down. After an error none of them holds.
+func (s *Store) Append(lists ...List) error {
+	if s.f == nil || s.broken {
+		return errStoreDown
+	}
+	var raw []byte
+	for _, l := range lists {
+		var err error
+		if raw, err = appendRecord(raw, l); err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
+	}
+	_, err := s.f.WriteAt(raw, s.size)
+	if err == nil {
+		err = s.f.Sync()
+	}
+	if err != nil {
+		// A part may stand there, and after a failed sync nobody knows what does.
+		cut := errors.Join(s.f.Truncate(s.size), s.f.Sync())
+		s.broken = cut != nil
+		return fmt.Errorf("store: %w", errors.Join(err, cut))
+	}
+	s.size += int64(len(raw))
+	return nil
+}
+
+// Large tells whether the log is worth writing anew.
+func (s *Store) Large() bool { return s.size > max(minCompact, growth*s.whole) }
+
+// Down tells whether only a log written anew can be appended to.
+func (s *Store) Down() bool { return s.f == nil || s.broken }
+
+// Size is how many bytes the log has.
+func (s *Store) Size() int64 { return s.size }
+
+// Compact writes the log anew, with a whole list in place of all that led to it. After an error the old one holds.
+func (s *Store) Compact(whole List) error {
+	raw, err := appendRecord([]byte(logMagic), whole)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	fresh := s.path + ".new"
+	f, err := os.OpenFile(fresh, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	_, err = f.Write(raw)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err == nil {
+		err = os.Rename(fresh, s.path)
+	}
+	if err != nil {
+		return fmt.Errorf("store: %w", errors.Join(err, f.Close(), os.Remove(fresh)))
+	}
+	old := s.f
+	s.f, s.size, s.whole, s.broken = f, int64(len(raw)), int64(len(raw)), false
+	if old != nil {
+		err = old.Close()
+	}
+	return errors.Join(err, syncDir(filepath.Dir(s.path)))
+}
+
+// syncDir makes a rename outlast the machine's power.
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// Close gives the folder back.
+func (s *Store) Close() error {
+	var err error
+	if s.f != nil {
+		err = s.f.Close()
+	}
+	return errors.Join(err, s.lock.Close())
+}
--- /dev/null
+++ b/internal/registry/store_test.go
@@ -0,0 +1,190 @@
+package registry
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+)
+
+// filled is a log of a whole list and some changes, and what its revisions are.
+func filled(t *testing.T, dir string, changes int) (raw []byte, lists []List) {
+	t.Helper()
+	s, none, err := OpenStore(dir)
+	if err != nil || none != nil {
+		t.Fatal(none, err)
+	}
+	defer s.Close()
+	c := newList(t, 2)
+	lists = append(lists, c.Whole())
+	if err := s.Compact(c.Whole()); err != nil {
+		t.Fatal(err)
+	}
+	for n := range changes {
+		l := register(t, c, 0, instance(5+n))
+		lists = append(lists, l)
+		if err := s.Append(l); err != nil {
+			t.Fatal(err)
+		}
+	}
+	raw, err = os.ReadFile(filepath.Join(dir, logName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw, lists
+}
+
+func reopen(t *testing.T, raw []byte) (*Store, []List, error) {
+	t.Helper()
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, logName), raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, lists, err := OpenStore(dir)
+	if err == nil {
+		t.Cleanup(func() { s.Close() })
+	}
+	return s, lists, err
+}
+
+// A kill can leave any part of a write behind. Whole records hold, the part is cut, and the log can be appended to.
+func TestAKillAtAnyByteOfAWrite(t *testing.T) {
+	raw, want := filled(t, t.TempDir(), 3)
+	first, err := appendRecord([]byte(logMagic), want[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	ends := []int{len(first)}
+	for _, l := range want[1:] {
+		rec, err := appendRecord(nil, l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ends = append(ends, ends[len(ends)-1]+len(rec))
+	}
+	for size := len(first); size <= len(raw); size++ {
+		whole := 0
+		for _, end := range ends {
+			if size >= end {
+				whole++
+			}
+		}
+		s, lists, err := reopen(t, raw[:size])
+		if err != nil {
+			t.Fatalf("cut at %d: %v", size, err)
+		}
+		if len(lists) != whole || s.Cut != int64(size-ends[whole-1]) {
+			t.Fatalf("cut at %d: %d lists, want %d; %d bytes cut", size, len(lists), whole, s.Cut)
+		}
+		next := List{Revision: lists[whole-1].Revision + 1}
+		if err := s.Append(next); err != nil {
+			t.Fatal(err)
+		}
+		after, err := os.ReadFile(s.path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, _, err := readLog("log", after); err != nil || len(again) != whole+1 {
+			t.Fatalf("cut at %d, then appended to: %d lists, %v", size, len(again), err)
+		}
+	}
+}
+
+// A record that can't be read in front of others is no torn tail: to go on would lose what it says.
+func TestACorruptMiddleIsAnErrorWithItsOffset(t *testing.T) {
+	raw, want := filled(t, t.TempDir(), 3)
+	first, err := appendRecord([]byte(logMagic), want[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := appendRecord(first, want[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := len(first); at < len(second); at++ {
+		spoilt := append([]byte(nil), raw...)
+		spoilt[at] ^= 0x41
+		_, _, err := reopen(t, spoilt)
+		var corrupt *CorruptError
+		if !errors.As(err, &corrupt) || corrupt.Offset != int64(len(first)) {
+			t.Fatalf("byte %d spoilt: %v", at, err)
+		}
+	}
+	for name, spoilt := range map[string][]byte{"empty": {}, "no list": []byte(logMagic), "half a first list": raw[:len(first)-1]} {
+		var corrupt *CorruptError
+		if _, _, err := reopen(t, spoilt); !errors.As(err, &corrupt) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestALogIsWrittenAnew(t *testing.T) {
+	dir := t.TempDir()
+	filled(t, dir, 3)
+	s, lists, err := OpenStore(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	c := NewCatalog(DefaultOptions())
+	for _, l := range lists {
+		c.Apply(0, l)
+	}
+	before := s.Size()
+	if err := s.Compact(c.Whole()); err != nil {
+		t.Fatal(err)
+	}
+	if s.Size() >= before {
+		t.Errorf("%d bytes after %d", s.Size(), before)
+	}
+	raw, err := os.ReadFile(s.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, _, err := readLog("log", raw); err != nil || len(again) != 1 || !reflect.DeepEqual(again[0], c.Whole()) {
+		t.Errorf("got %+v, %v, want %+v", again, err, c.Whole())
+	}
+}
+
+func TestAFolderHasOneProcess(t *testing.T) {
+	dir := t.TempDir()
+	s, _, err := OpenStore(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := OpenStore(dir); err == nil {
+		t.Error("a second process has the folder")
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	again, _, err := OpenStore(dir)
+	if err != nil {
+		t.Fatalf("after the first is gone: %v", err)
+	}
+	again.Close()
+}
+
+func FuzzReadLog(f *testing.F) {
+	c := NewCatalog(DefaultOptions())
+	raw, err := appendRecord([]byte(logMagic), c.Whole())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	if raw, err = appendRecord(raw, List{Revision: 9, Members: []Member{instance(1)}}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		lists, good, err := readLog("log", raw)
+		if err != nil {
+			return
+		}
+		again, all, err := readLog("log", raw[:good])
+		if err != nil || all != good || !reflect.DeepEqual(lists, again) {
+			t.Errorf("what is good reads as %v, %v; at first %v", again, err, lists)
+		}
+	})
+}
