Follow a list service of several servers: failover, no way back, caution, a kept list

Need: with a list service of its own a node has several servers to ask, which die, lag and are replaced.

The section "registry" of the configuration names them; without it nothing changes: one address, every list as told.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -27,6 +27,7 @@
 	PeerListen  string          `json:"peer_listen"` // where datagrams of other nodes come
 	Peers       []string        `json:"peers"`       // all nodes by their numbers, this one too
 	Known       list            `json:"known"`
+	Registry    *ListService    `json:"registry"` // the project's own list service, in place of Discovery; nil for none
 	RawSettings json.RawMessage `json:"settings"`
 
 	State    string          `json:"-"` // the folder that lasts
@@ -52,6 +53,9 @@
 	if c.Settings, err = wire.Settings(c.RawSettings); err != nil {
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if err := c.Registry.check(); err != nil {
+		return c, fmt.Errorf("configuration %s: %w", path, err)
+	}
 	if c.Names, err = wire.SettingsNames(c.RawSettings); err != nil {
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -1,13 +1,9 @@
 package node
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -17,12 +13,11 @@
 	"time"
 
 	"starlingusher/choice"
+	"starlingusher/internal/listwatch"
 	"starlingusher/internal/wire"
 )
 
 const (
-	maxListLine  = 4 << 20
-	watchSilence = 10 * time.Second // an empty line comes every 2 s while discovery is up
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 2 * time.Second
 	askSpacing   = 50 * time.Millisecond // of the whole fleet's first asks again after a failure common to all
@@ -116,26 +111,29 @@
 // discovery is where discovery is to be found. It moves when the configuration is replaced.
 type discovery struct {
 	mu    sync.Mutex
-	addr  string
+	addrs []string      // of servers that tell the same
+	first int           // the one that this node begins with, so that a fleet spreads over them
 	moved chan struct{} // closed by the next move
 }
 
-func newDiscovery(addr string) *discovery { return &discovery{addr: addr, moved: make(chan struct{})} }
+func newDiscovery(addrs []string) *discovery {
+	return &discovery{addrs: addrs, first: rand.N(len(addrs)), moved: make(chan struct{})}
+}
 
-// move sends to addr whatever is asked of discovery from now on, and ends what is being asked elsewhere.
-func (r *discovery) move(addr string) {
+// move sends to the addresses whatever is asked of discovery from now on, and ends what is being asked elsewhere.
+func (r *discovery) move(addrs []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if addr != r.addr {
+	if !slices.Equal(addrs, r.addrs) {
 		close(r.moved)
-		r.addr, r.moved = addr, make(chan struct{})
+		r.addrs, r.first, r.moved = addrs, rand.N(len(addrs)), make(chan struct{})
 	}
 }
 
-// here returns the address, and a context that ends when discovery moves away from it.
-func (r *discovery) here(ctx context.Context) (string, context.Context, context.CancelFunc) {
+// here returns the address for whoever has turned away from so many, and a context that ends when discovery moves.
+func (r *discovery) here(ctx context.Context, turn int) (string, context.Context, context.CancelFunc) {
 	r.mu.Lock()
-	addr, moved := r.addr, r.moved
+	addr, moved := r.addrs[(r.first+turn)%len(r.addrs)], r.moved
 	r.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
@@ -148,57 +146,51 @@
 	return addr, ctx, cancel
 }
 
-// watch follows discovery until the context ends, and hands each list on.
-func watch(ctx context.Context, log *slog.Logger, client *http.Client, at *discovery, pause backoff, after int64, tell func(list)) {
-	for ctx.Err() == nil {
-		addr, here, cancel := at.here(ctx)
-		err := watchOnce(here, client, addr, after, func(l list) {
-			after = l.Revision
-			pause.reset()
-			tell(l)
+// all are the addresses.
+func (r *discovery) all() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.addrs
+}
+
+// watcher follows the list.
+type watcher struct {
+	log     *slog.Logger
+	client  *http.Client
+	at      *discovery
+	pause   backoff // between watches
+	figures *figures
+	// check looks at a list before it is taken: it may give another in its place, or refuse it, and with it the server
+	// that told it. Nil takes each as it comes: the platform's discovery says what holds.
+	check func(context.Context, list) (list, error)
+	tell  func(list)
+}
+
+// run follows the list from a revision until the context ends. Each watch that ends turns it to the next server.
+func (w *watcher) run(ctx context.Context, after int64) {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		addr, here, cancel := w.at.here(ctx, turn)
+		url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", addr, after)
+		err := listwatch.Lines(here, w.client, url, w.figures.listLine, func(line []byte) error {
+			var l list
+			err := json.Unmarshal(line, &l)
+			if err == nil && w.check != nil {
+				l, err = w.check(here, l)
+			}
+			if err == nil {
+				after = l.Revision
+				w.pause.reset()
+				w.tell(l)
+			}
+			return err
 		})
 		if here.Err() != nil {
-			pause.reset() // it has moved, or the node ends
+			w.pause.reset() // it has moved, or the node ends
 		} else {
-			log.Debug("watch ended", "addr", addr, "err", err)
-			sleep(here, pause.next())
+			w.figures.listTurns.Add(1)
+			w.log.Debug("watch ended", "addr", addr, "err", err)
+			sleep(here, w.pause.next())
 		}
 		cancel()
 	}
 }
-
-// watchOnce follows one watch to its end. One that has gone silent is given up: its machine may be gone.
-func watchOnce(ctx context.Context, client *http.Client, addr string, after int64, tell func(list)) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
-	defer silence.Stop()
-	url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", addr, after)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("watch: %s", resp.Status)
-	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 16<<10), maxListLine)
-	for lines.Scan() {
-		silence.Reset(watchSilence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
-		}
-		var l list
-		if err := json.Unmarshal(line, &l); err != nil {
-			return fmt.Errorf("watch: %w", err)
-		}
-		tell(l)
-	}
-	return errors.Join(lines.Err(), io.EOF)
-}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -9,10 +9,18 @@
 
 // busiestSecond is the most asks within a second that a fleet makes whose every ask fails, all from the same moment on.
 func busiestSecond(fleet int, asks bool) int {
+	return busiest(fleet, func() backoff { return askPauses(choice.Settings{Fleet: fleet, AskForList: asks}) })
+}
+
+func busiest(fleet int, pauses func() backoff) int {
 	const length = 120
 	counts := make([]int, length*10)
 	for range fleet {
-		pause := askPauses(choice.Settings{Fleet: fleet, AskForList: asks})
+		pause := pauses()
+		if pause.last == 0 { // all ask at once, and hear
+			counts[0]++
+			continue
+		}
 		for at := pause.next(); at < length*time.Second; at += pause.next() {
 			counts[at/(100*time.Millisecond)]++
 		}
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"sync/atomic"
+	"time"
 )
 
 // figures are what the operators read. Counters run from the start of the process, each counted once, where its
@@ -14,13 +15,20 @@
 	tries   atomic.Int64 // messages written whole to endpoints
 
 	active, poolSize, poolEjected atomic.Int64
+
+	// Of the list; told only where it is the project's own service's.
+	ownList                                         bool
+	listRevision, listOlder, listDoubted, listTurns atomic.Int64
+	listHeard                                       atomic.Int64 // Unix time in nanoseconds of a server's last line
 }
 
 // ends counts the final answers of a class.
 type ends struct{ ok, shed, errors atomic.Int64 }
 
 func newFigures(classes []string) *figures {
-	return &figures{classes: classes, ends: make([]ends, len(classes))}
+	f := &figures{classes: classes, ends: make([]ends, len(classes))}
+	f.listLine()
+	return f
 }
 
 // delivered, shed and failed count a message's final answer. A class that the settings don't name has no figure.
@@ -49,6 +57,9 @@
 	return &f.ends[class]
 }
 
+// listLine notes that a list server has said something.
+func (f *figures) listLine() { f.listHeard.Store(time.Now().UnixNano()) }
+
 // text writes the figures as StatsD lines.
 func (f *figures) text() []byte {
 	var b bytes.Buffer
@@ -62,5 +73,12 @@
 	fmt.Fprintf(&b, "router.active:%d|g\n", f.active.Load())
 	fmt.Fprintf(&b, "router.pool_size:%d|g\n", f.poolSize.Load())
 	fmt.Fprintf(&b, "router.pool_ejected:%d|g\n", f.poolEjected.Load())
+	if f.ownList {
+		fmt.Fprintf(&b, "router.list_revision:%d|g\n", f.listRevision.Load())
+		fmt.Fprintf(&b, "router.list_silent_ms:%d|g\n", time.Since(time.Unix(0, f.listHeard.Load())).Milliseconds())
+		fmt.Fprintf(&b, "router.list_turns:%d|c\n", f.listTurns.Load())
+		fmt.Fprintf(&b, "router.list_older:%d|c\n", f.listOlder.Load())
+		fmt.Fprintf(&b, "router.list_doubted:%d|c\n", f.listDoubted.Load())
+	}
 	return b.Bytes()
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -59,7 +59,7 @@
 // unheard. It returns the module's first events.
 func (n *Node) begin(c claim, unheard []called) ([]choice.Event, error) {
 	var err error
-	if n.journal, err = openJournal(n.cfg.State, n.cfg.Limits.DiskMB); err != nil {
+	if n.journal, err = openJournal(n.cfg.State, n.cfg.journalMB()); err != nil {
 		return nil, err
 	}
 	before := n.orders
@@ -70,6 +70,13 @@
 		return nil, errors.Join(err, n.journal.close())
 	}
 	known := n.cfg.Known
+	if n.kept = n.cfg.keptList(); n.kept != nil {
+		if last, err := n.kept.read(); err != nil {
+			n.log.Warn("the list that was kept can't be used", "err", err)
+		} else if last.Revision > known.Revision {
+			known = last
+		}
+	}
 	if n.members != nil {
 		known = list{Revision: n.revision, Members: slices.Collect(maps.Values(n.members))}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 	eps       map[string]*endpoint
 	members   map[string]member     // the list as it is known
 	revision  int64                 // of it
+	kept      *keptList             // of the last good list; nil if it is not kept
 	waits     map[int]*atomic.Int64 // of destinations whose endpoints share them
 	owed      []notice              // not yet handed to the reporter
 	named     map[string]bool       // endpoints that a list has ever named
@@ -103,15 +104,17 @@
 
 // New makes a node that Run brings to life. Its folder must be the node's alone.
 func New(cfg Config, log *slog.Logger) *Node {
-	return &Node{
+	n := &Node{
 		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
 		figures:   newFigures(cfg.Names.Classes),
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
-		discovery: newDiscovery(cfg.Discovery),
+		discovery: newDiscovery(cfg.discoveryAt()),
 		events:    make(chan any, eventQueue), notices: make(chan []notice), asks: make(chan *link),
 		messages: map[string]*past{}, out: map[attempt]outCall{}, eps: map[string]*endpoint{},
 		waits: map[int]*atomic.Int64{}, dests: map[int]bool{}, named: map[string]bool{},
 	}
+	n.figures.ownList = cfg.Registry != nil
+	return n
 }
 
 func (n *Node) newPool() *pool {
@@ -206,9 +209,8 @@
 	defer parts.Wait()
 	defer end()
 	n.step(life, events, nil)
-	parts.Go(func() {
-		watch(term, n.log, n.client, n.discovery, askPauses(n.cfg.Settings), n.revision, func(l list) { n.tell(term, l) })
-	})
+	follow, after := n.newWatcher(func(l list) { n.tell(term, l) }), n.revision
+	parts.Go(func() { follow.run(term, after) })
 	parts.Go(func() {
 		report(term, n.log, n.client, n.discovery, n.notices, func(b []notice) { n.tell(term, settled(b)) })
 	})
@@ -257,7 +259,7 @@
 
 // Reload takes from a configuration that has replaced the old one what may change while the node runs: the
 // address of discovery. It may be called at any time, from any goroutine.
-func (n *Node) Reload(cfg Config) { n.discovery.move(cfg.Discovery) }
+func (n *Node) Reload(cfg Config) { n.discovery.move(cfg.discoveryAt()) }
 
 // resumed tells the module of a message's past. An attempt that is not proven not to have run may have.
 func (n *Node) resumed(p *past) choice.Resumed {
@@ -354,6 +356,9 @@
 	if n.journal.broken {
 		wait = min(wait, compactPause)
 	}
+	if n.kept != nil {
+		wait = min(wait, n.kept.wait(time.Now()))
+	}
 	return wait
 }
 
@@ -482,6 +487,9 @@
 
 // listed brings the endpoints up to date. Calls that have not written their first byte hear of it by shut.
 func (n *Node) listed(l list) choice.Listed {
+	if n.kept != nil {
+		n.kept.changed(l.Revision)
+	}
 	if n.revision = l.Revision; l.Complete || n.members == nil {
 		n.members = map[string]member{}
 	}
@@ -599,6 +607,7 @@
 		}
 	}
 	n.publish()
+	n.keepList()
 	for _, a := range fresh { // not refused, so taken on
 		n.acts = append(n.acts, func() { a.reply <- answer{} })
 	}
@@ -616,6 +625,7 @@
 func (n *Node) publish() {
 	size, avoided := n.sender.Pool()
 	n.figures.active.Store(int64(n.held))
+	n.figures.listRevision.Store(n.revision)
 	n.figures.poolSize.Store(int64(size))
 	n.figures.poolEjected.Store(int64(avoided))
 }
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -40,7 +40,7 @@
 func report(
 	ctx context.Context, log *slog.Logger, client *http.Client, at *discovery, notices <-chan []notice, done func([]notice),
 ) {
-	for {
+	for turn := 0; ; {
 		var batch []notice
 		select {
 		case batch = <-notices:
@@ -50,7 +50,7 @@
 		pause := backoff{first: firstBackoff, last: lastBackoff}
 		for len(batch) > 0 {
 			some := batch[:min(len(batch), maxNotices)]
-			addr, here, cancel := at.here(ctx)
+			addr, here, cancel := at.here(ctx, turn)
 			err := post(here, client, addr, some)
 			switch {
 			case err == nil:
@@ -60,6 +60,7 @@
 			case here.Err() != nil:
 				pause.reset() // it has moved, or the node ends
 			default:
+				turn++
 				log.Debug("notices not taken", "addr", addr, "count", len(some), "err", err)
 				sleep(here, pause.next())
 			}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -35,7 +35,7 @@
 	notices := make(chan []notice, 1)
 	notices <- batch
 	settled := 0
-	report(ctx, slog.New(slog.DiscardHandler), srv.Client(), newDiscovery(srv.Listener.Addr().String()), notices, func(done []notice) {
+	report(ctx, slog.New(slog.DiscardHandler), srv.Client(), newDiscovery([]string{srv.Listener.Addr().String()}), notices, func(done []notice) {
 		if settled += len(done); settled >= count {
 			cancel()
 		}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -84,11 +84,7 @@
 	if err != nil {
 		return fmt.Errorf("orders: %w", err)
 	}
-	fresh := o.path() + ".new"
-	if err := os.WriteFile(fresh, raw, 0o600); err != nil {
-		return fmt.Errorf("orders: %w", errors.Join(err, os.Remove(fresh)))
-	}
-	if err := os.Rename(fresh, o.path()); err != nil {
+	if err := replaceFile(o.path(), raw); err != nil {
 		return fmt.Errorf("orders: %w", err)
 	}
 	return nil
