Test real nodes over kills, a restart and a promotion of the list service

Three coralyard processes deliver while the primary is killed, started again, replaced by a promoted follower and returns, and while no list server runs and a node starts.

Its first plays promoted a follower that had not yet had a list, which emptied it (nodes held the list for 0.19 s and then took it): such a server is now promoted only with empty=1, servers look for each other faster while one waits, and a list begun anew can be told which epoch to come after.

--- a/cmd/registry/main.go
+++ b/cmd/registry/main.go
@@ -49,6 +49,7 @@
 	f.StringVar(&peers, "servers", "", "addresses of all servers in the order of their numbers, with commas; empty for a single one")
 	f.IntVar(&o.server.Number, "number", 0, "this server's place among them, from 0")
 	f.BoolVar(&o.server.Bootstrap, "bootstrap", false, "with an empty folder, begin a list; for one server only")
+	f.Int64Var((*int64)(&o.server.After), "after-epoch", 0, "with -bootstrap: begin after this epoch, which nodes have heard of")
 	f.DurationVar(&o.server.Coalesce, "coalesce", 20*time.Millisecond, "changes so close together are told at once")
 	f.IntVar(&o.server.MaxWatchers, "watchers", 4096, "watches at most")
 	f.Int64Var(&o.places, "connections", 8192, "connections at most")
--- /dev/null
+++ b/cmd/registry/main_test.go
@@ -0,0 +1,467 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const patience = 60 * time.Second
+
+// TestMain is the server itself when a test starts this binary as a child.
+func TestMain(m *testing.M) {
+	if os.Getenv("REGISTRY_TEST_CHILD") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// child is a process of a test, on its own folder, that can be killed and started again.
+type child struct {
+	t    *testing.T
+	path string
+	args []string
+	env  []string
+	cmd  *exec.Cmd
+	log  sync.WaitGroup
+}
+
+func (c *child) start() {
+	c.t.Helper()
+	c.cmd = exec.Command(c.path, c.args...)
+	c.cmd.Env = append(os.Environ(), c.env...)
+	log, err := c.cmd.StderrPipe()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := c.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.log.Go(func() { io.Copy(c.t.Output(), log) })
+}
+
+func (c *child) kill() {
+	if c.cmd == nil {
+		return
+	}
+	c.cmd.Process.Kill()
+	c.log.Wait()
+	c.cmd.Wait() // its error says that it was killed
+	c.cmd = nil
+}
+
+// freeAddrs are addresses for processes that are killed and started again on them. They lie below the ports that the
+// system gives out by itself, so that no connection takes one meanwhile.
+func freeAddrs(t *testing.T, count int) []string {
+	t.Helper()
+	var out []string
+	for tries := 0; len(out) < count; tries++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12_000+rand.N(20_000)))
+		if err != nil {
+			if tries > 1000 {
+				t.Fatal(err)
+			}
+			continue
+		}
+		defer ln.Close()
+		out = append(out, ln.Addr().String())
+	}
+	return out
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// ask makes a call on a connection of its own.
+func ask(method, url, body string) (int, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw), err
+}
+
+// ledger is what the test's own clients and endpoints saw.
+type ledger struct {
+	mu        sync.Mutex
+	taken     map[string]bool
+	delivered map[string]int
+	stray     []string // calls at an endpoint that had been withdrawn for longer than the grace
+}
+
+// endpoint is a stand-in that takes calls, and that registers and renews at whichever server is the primary.
+type endpoint struct {
+	t       *testing.T
+	id      string
+	servers []string
+	ln      net.Listener
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+
+	mu        sync.Mutex
+	granted   int // registrations
+	withdrawn time.Time
+}
+
+const (
+	stopSending = 250 * time.Millisecond // as the settings below say
+	slack       = 2 * time.Second        // until a node has heard; the protocol says 6 s at the most
+)
+
+func newEndpoint(t *testing.T, id string, servers []string, l *ledger) *endpoint {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{t: t, id: id, servers: servers, ln: ln}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		e.mu.Lock()
+		late := !e.withdrawn.IsZero() && time.Since(e.withdrawn) > stopSending+slack
+		e.mu.Unlock()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.delivered[r.Header.Get("X-Trace-Id")]++; late {
+			l.stray = append(l.stray, e.id)
+		}
+	})}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	e.done.Go(func() { srv.Serve(ln) })
+	e.done.Go(func() { e.renew(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		srv.Close()
+		e.done.Wait()
+	})
+	return e
+}
+
+// renew holds the lease as an instance should: it registers when nobody knows it, and asks the next server when one
+// is out or not the primary.
+func (e *endpoint) renew(ctx context.Context) {
+	at := 0
+	for ctx.Err() == nil {
+		url := fmt.Sprintf("http://%s/registry/instances/%s", e.servers[at], e.id)
+		code, _, err := ask("POST", url+"/renew", fmt.Sprintf(`{"owner":"%s-1"}`, e.id))
+		if err == nil && code == http.StatusNotFound {
+			code, _, err = ask("PUT", url, fmt.Sprintf(
+				`{"host_port":%q,"locality":"z","flavor":"m","cell":7,"size":1000,"owner":"%s-1","lease_ms":3000}`, e.ln.Addr(), e.id))
+			if err == nil && code == http.StatusOK {
+				e.mu.Lock()
+				e.granted++
+				e.mu.Unlock()
+			}
+		}
+		if err != nil || code != http.StatusOK {
+			at = (at + 1) % len(e.servers)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+func (e *endpoint) registered() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.granted > 0
+}
+
+// withdraw takes the endpoint off the list. It goes on taking calls, to tell of those that should not come.
+func (e *endpoint) withdraw() {
+	e.t.Helper()
+	e.stop()
+	eventually(e.t, "withdraw "+e.id, func() bool {
+		for _, s := range e.servers {
+			code, _, err := ask("DELETE", fmt.Sprintf("http://%s/registry/instances/%s", s, e.id), fmt.Sprintf(`{"owner":"%s-1"}`, e.id))
+			if err == nil && (code == http.StatusNoContent || code == http.StatusNotFound) {
+				return true
+			}
+		}
+		return false
+	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.withdrawn = time.Now()
+}
+
+// enqueue hands messages to a node for as long as ctx lives, one after the other, and notes those taken on.
+func enqueue(ctx context.Context, node, addr string, l *ledger) {
+	var nc net.Conn
+	var answers *bufio.Reader
+	for n := 0; ctx.Err() == nil; n++ {
+		if nc == nil {
+			var err error
+			if nc, err = net.DialTimeout("tcp", addr, time.Second); err != nil {
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
+			answers = bufio.NewReader(nc)
+		}
+		id := fmt.Sprintf("%s-%08d", node, n)
+		var b bytes.Buffer
+		words := []string{"ENQUEUE", "0", id, "c=status,d=20000,dest=7", "body"}
+		fmt.Fprintf(&b, "*%d\r\n", len(words))
+		for _, w := range words {
+			fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(w), w)
+		}
+		nc.SetDeadline(time.Now().Add(2 * time.Second))
+		_, err := nc.Write(b.Bytes())
+		var line string
+		if err == nil {
+			line, err = answers.ReadString('\n')
+		}
+		if err != nil { // the node is gone; whether it took the message on is not known
+			nc.Close()
+			nc = nil
+			continue
+		}
+		if strings.HasPrefix(line, "+") {
+			l.mu.Lock()
+			l.taken[id] = true
+			l.mu.Unlock()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if nc != nil {
+		nc.Close()
+	}
+}
+
+func nodeConfig(t *testing.T, listen string, servers []string) string {
+	t.Helper()
+	addrs, err := json.Marshal(servers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"seed":"1","registry":{"addresses":%s,"keep":true},
+		"limits":{"cores":1,"memory_mb":128,"sockets":256,"disk_mb":3},
+		"known":{"revision":0,"complete":true,"members":[]},
+		"settings":{"fleetSize":3,"failureDomains":["z"],"flavors":["m"],"categories":[
+			{"name":"status","effect":"idempotent","group":"all","aim":4000,"deadline":20000,"worth":1,"lateWorth":0.3}],
+			"contract":{"coldFrom":0.5,"fall":2000,"fallMultiple":3,"graceToAnswer":20,"stopSendingWithin":%d,"warmWithin":2000},
+			"discovery":"pushed","domain":{"decay":"line","kindBatch":[1],"separateRoutes":[false],"workers":16},
+			"limits":{"cancel":true,"connIdle":5000,"dialTimeout":500,"maxAttempts":12,"maxOpen":400,"maxRetryAfter":3000,
+			"mayDuplicate":false,"retryAfter":true},"tick":5,"weights":"rough"}}`, listen, addrs, stopSending.Milliseconds())
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Three real nodes deliver while the list service is killed, started again and promoted, its old primary returns,
+// and all of it is down while a node starts: nothing taken on is lost, and nothing goes to a withdrawn endpoint.
+func TestNodesDeliverWhileTheListServiceFails(t *testing.T) {
+	coralyard := filepath.Join(t.TempDir(), "coralyard")
+	if out, err := exec.Command("go", "build", "-o", coralyard, "../coralyard").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	addrs := freeAddrs(t, 7)
+	servers, consoles, clients := addrs[:2], addrs[2:4], addrs[4:]
+	var services []*child
+	for i := range servers {
+		c := &child{t: t, path: os.Args[0], env: []string{"REGISTRY_TEST_CHILD=1"}, args: []string{
+			"-listen", servers[i], "-console", consoles[i], "-state", t.TempDir(), "-servers", strings.Join(servers, ","),
+			"-number", fmt.Sprint(i), fmt.Sprintf("-bootstrap=%v", i == 0),
+		}}
+		services = append(services, c)
+		t.Cleanup(c.kill)
+		c.start()
+	}
+	l := &ledger{taken: map[string]bool{}, delivered: map[string]int{}}
+	endpoints := map[string]*endpoint{}
+	appear := func(id string) {
+		t.Helper()
+		endpoints[id] = newEndpoint(t, id, servers, l)
+		eventually(t, id+" is registered", endpoints[id].registered)
+	}
+	for _, id := range []string{"e1", "e2", "e3", "e4"} {
+		appear(id)
+	}
+	var nodes []*child
+	sending, silence := context.WithCancel(t.Context())
+	defer silence()
+	var senders sync.WaitGroup
+	defer senders.Wait()
+	for i, addr := range clients {
+		name := fmt.Sprintf("n%d", i)
+		c := &child{t: t, path: coralyard, env: []string{
+			"ROUTER_CONFIG=" + nodeConfig(t, addr, servers), "ROUTER_STATE=" + t.TempDir(), "ROUTER_CONSOLE=",
+		}}
+		nodes = append(nodes, c)
+		t.Cleanup(c.kill)
+		c.start()
+		senders.Go(func() { enqueue(sending, name, addr, l) })
+	}
+	// flows waits until each node has delivered some more, and so works with what the test has just done.
+	flows := func(during string) {
+		t.Helper()
+		count := func() map[string]int {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			by := map[string]int{}
+			for id := range l.delivered {
+				node, _, _ := strings.Cut(id, "-")
+				by[node]++
+			}
+			return by
+		}
+		before := count()
+		eventually(t, "all nodes deliver "+during, func() bool {
+			now := count()
+			for i := range nodes {
+				if name := fmt.Sprintf("n%d", i); now[name] < before[name]+20 {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	flows("at first")
+	inSync := func() bool { // as an operator sees to before anything is done to a server
+		statuses := map[string]bool{}
+		for _, addr := range servers {
+			var st struct{ Revision int64 }
+			_, said, err := ask("GET", "http://"+addr+"/registry/status", "")
+			if err != nil || json.Unmarshal([]byte(said), &st) != nil {
+				return false
+			}
+			statuses[fmt.Sprint(st.Revision)] = true
+		}
+		return len(statuses) == 1
+	}
+	eventually(t, "the follower has the list", inSync)
+
+	services[0].kill()
+	flows("while the primary is down")
+	services[0].start()
+	appear("e5")
+	endpoints["e1"].withdraw()
+	flows("after the primary's restart")
+	eventually(t, "the follower has the list", inSync)
+
+	services[0].kill()
+	eventually(t, "the promotion", func() bool {
+		code, _, err := ask("PUT", "http://"+consoles[1]+"/ops/promote", "")
+		return err == nil && code == http.StatusOK
+	})
+	appear("e6")
+	endpoints["e2"].withdraw()
+	flows("after the promotion")
+
+	services[0].start() // the old primary, with a list that is no longer true
+	eventually(t, "the old primary follows", func() bool {
+		_, said, err := ask("GET", "http://"+servers[0]+"/registry/status", "")
+		return err == nil && strings.Contains(said, `"role":"follower"`) && strings.Contains(said, `"primary":"`+servers[1])
+	})
+	eventually(t, "it has the list", inSync)
+	flows("with the old primary back")
+	services[1].kill()
+	flows("from the old primary as a follower")
+	services[0].kill()
+	nodes[0].kill()
+	nodes[0].start()
+	flows("with no list server, one node started anew")
+	services[1].start()
+	services[0].start()
+
+	// Traffic goes on for long enough to tell whether a withdrawn endpoint still gets some.
+	time.Sleep(time.Until(endpoints["e2"].withdrawn.Add(stopSending + slack + time.Second)))
+	flows("at last")
+	silence()
+	senders.Wait()
+	noticed := map[string]bool{}
+	eventually(t, "every message taken on is delivered, or its end is told", func() bool {
+		for _, s := range servers {
+			noticesAt(s, noticed)
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for id := range l.taken {
+			if l.delivered[id] == 0 && !noticed[id] {
+				return false
+			}
+		}
+		return true
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.stray) > 0 {
+		t.Errorf("%d calls after the grace at withdrawn endpoints: %v", len(l.stray), l.stray[:min(5, len(l.stray))])
+	}
+	if len(noticed) > len(l.taken)/20 {
+		t.Errorf("%d of %d messages were not delivered", len(noticed), len(l.taken))
+	}
+	t.Logf("%d messages taken on, %d of them not delivered and said so; none at a withdrawn endpoint after its grace", len(l.taken), len(noticed))
+}
+
+// noticesAt notes the messages whose end nodes have told a server.
+func noticesAt(server string, noticed map[string]bool) {
+	_, page, err := ask("GET", "http://"+server+"/reports", "")
+	if err != nil {
+		return // asked again
+	}
+	for line := range strings.Lines(page) {
+		var n struct {
+			ID string `json:"id"`
+		}
+		if json.Unmarshal([]byte(line), &n) == nil {
+			noticed[n.ID] = true
+		}
+	}
+}
+
+func TestBadCommandLines(t *testing.T) {
+	for name, args := range map[string][]string{
+		"no folder":        {},
+		"a stray word":     {"-state", t.TempDir(), "stray"},
+		"an unknown flag":  {"-state", t.TempDir(), "-colour", "red"},
+		"no such server":   {"-state", t.TempDir(), "-servers", "a:1,b:1", "-number", "2"},
+		"a bad address":    {"-state", t.TempDir(), "-listen", "nowhere", "-bootstrap"},
+		"a file as folder": {"-state", os.Args[0]},
+	} {
+		out, err := func() ([]byte, error) {
+			cmd := exec.Command(os.Args[0], args...)
+			cmd.Env = append(os.Environ(), "REGISTRY_TEST_CHILD=1")
+			return cmd.CombinedOutput()
+		}()
+		if err == nil {
+			t.Errorf("%s: it ends well: %s", name, out)
+		}
+	}
+}
--- a/internal/registry/console.go
+++ b/internal/registry/console.go
@@ -31,7 +31,7 @@
 	mux.HandleFunc("PUT /ops/promote", func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), promoteTimeout)
 		defer cancel()
-		if _, err := s.Promote(ctx); err != nil {
+		if _, err := s.Promote(ctx, r.URL.Query().Get("empty") == "1"); err != nil {
 			s.refuse(w, err)
 			return
 		}
--- a/internal/registry/failover_test.go
+++ b/internal/registry/failover_test.go
@@ -124,6 +124,33 @@
 	}
 }
 
+// To promote a server that has nothing would empty the list; an operator has to say that it is meant.
+func TestAServerWithoutAListIsNotPromotedByMistake(t *testing.T) {
+	cfg := testConfig(t)
+	cfg.Bootstrap, cfg.Number, cfg.Peers = false, 1, []string{"127.0.0.1:1", "127.0.0.1:2"}
+	b := start(t, cfg, listen(t, "127.0.0.1:0"))
+	if code, said := b.operate("PUT", "/ops/promote"); code != 409 || !strings.Contains(said, "empty=1") {
+		t.Errorf("promote: %d %s", code, said)
+	}
+	if b.s.feed.head() != 0 || !b.s.is(roleFollower) {
+		t.Error("it has a list now")
+	}
+	if code, said := b.operate("PUT", "/ops/promote?empty=1"); code != 200 {
+		t.Errorf("promote: %d %s", code, said)
+	}
+	b.register(1, 60_000)
+}
+
+// A list that is begun anew after all folders were lost must come after what nodes know.
+func TestAListIsBegunAfterAnEpoch(t *testing.T) {
+	cfg := testConfig(t)
+	cfg.After = 50
+	a := start(t, cfg, listen(t, "127.0.0.1:0"))
+	if e := a.list().Revision.Epoch(); e <= 50 || e.Owner() != 0 {
+		t.Errorf("it begins with epoch %d", e)
+	}
+}
+
 func TestAFollowersLagIsTold(t *testing.T) {
 	a, b := pair(t)
 	a.register(1, 60_000)
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -126,7 +126,7 @@
 		code, said.AfterMS = http.StatusConflict, conflict.After.Milliseconds()
 	case errors.As(err, &elsewhere):
 		code, said.Primary = http.StatusMisdirectedRequest, elsewhere.primary
-	case errors.Is(err, errPrimary):
+	case errors.Is(err, errPrimary), errors.Is(err, errNothing):
 		code = http.StatusConflict
 	case errors.As(err, &large):
 		code = http.StatusRequestEntityTooLarge
--- a/internal/registry/peers.go
+++ b/internal/registry/peers.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	peerPause   = time.Second // between asks of the other servers, with jitter
+	peerPause   = time.Second            // between asks of the other servers, with jitter
+	seekPause   = 150 * time.Millisecond // while this server waits for one of them: to be confirmed, or to follow
 	peerTimeout = time.Second
 	peerForgets = 5 * time.Second // what a server said so long ago is no longer known
 )
@@ -116,7 +117,11 @@
 		if _, err := s.do(ctx, order{plan: s.conclude}); err != nil && ctx.Err() == nil {
 			s.log.Error("the role could not be settled", "err", err)
 		}
-		pause(ctx, jittered(peerPause))
+		if s.is(roleUnconfirmed) || s.is(roleFollower) && s.peers.primary() == "" {
+			pause(ctx, jittered(seekPause))
+		} else {
+			pause(ctx, jittered(peerPause))
+		}
 	}
 }
 
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -26,6 +26,7 @@
 	Number      int      // of this server among Peers; no two may have the same
 	Peers       []string // addresses of all servers by number, this one's too; empty for one that is alone
 	Bootstrap   bool     // with an empty folder, begin a list of one's own
+	After       Epoch    // with Bootstrap, the list's epoch is later than this one, for those who have heard of it
 	State       string   // the folder that lasts
 	Options     Options
 	Coalesce    time.Duration // changes so close together are told at once
@@ -40,6 +41,7 @@
 	errPrimary     = errors.New("this server is the primary already")
 	errBehind      = errors.New("the list is older than what this server has")
 	errNoList      = errors.New("no list yet")
+	errNothing     = errors.New("this server has never had a list: every instance would be lost; say empty=1 if that is meant")
 )
 
 // notPrimary refuses a write.
@@ -147,7 +149,7 @@
 func (s *Server) confirm(now time.Duration) error {
 	// The end of the log may be lost, with revisions that others have heard: they must not be given out again.
 	if s.cat.Head() == 0 || s.store.Cut > 0 {
-		l, err := s.cat.Promote(s.cfg.Number, 0)
+		l, err := s.cat.Promote(s.cfg.Number, s.cfg.After)
 		if err == nil {
 			err = s.write(l)
 		}
@@ -346,14 +348,18 @@
 	}
 }
 
-// Promote makes this server the primary, by an epoch after all that it and the servers it reaches know of.
-func (s *Server) Promote(ctx context.Context) (Epoch, error) {
+// Promote makes this server the primary, by an epoch after all that it and the servers it reaches know of. One that
+// has never had a list begins an empty one only if that is asked for.
+func (s *Server) Promote(ctx context.Context, empty bool) (Epoch, error) {
 	known := s.askAll(ctx)
 	reply, err := s.do(ctx, order{
 		plan: func(now time.Duration) (List, any, error) {
 			if s.is(rolePrimary) {
 				return List{}, nil, errPrimary
 			}
+			if s.cat.Head() == 0 && !empty {
+				return List{}, nil, errNothing
+			}
 			l, err := s.cat.Promote(s.cfg.Number, known)
 			return l, l.Revision.Epoch(), err
 		},
