Add membership: SWIM with local health, as a core stepped with time

Need: nodes know each other only by a list in the configuration; who is there is learnt from silence, call by call.

Core takes datagrams, time and a seed, and hands back datagrams and changes: pings, pings by way of others, suspicion with refutation by incarnation, gossip on the back of these, an explicit leave, and digests of views by buckets, also to those held for gone, so that parts that were cut off come together. What is merged from another's view and says dead is only a suspicion of who is held for present: else two parts that meet would bury each other.

--- /dev/null
+++ b/internal/membership/claim.go
@@ -0,0 +1,191 @@
+package membership
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+)
+
+// ID names a member in datagrams. It is made of the member's address, so that nodes whose lists differ in order or
+// length still mean the same member by it.
+type ID uint32
+
+// IDOf is the id of the member at an address.
+func IDOf(addr string) ID {
+	h := fnv.New32a()
+	h.Write([]byte(addr))
+	return ID(h.Sum32())
+}
+
+// State is what a node holds a member for.
+type State uint8
+
+// The states. A suspect is still present: it has time to speak for itself.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+	Left
+)
+
+var stateNames = [...]string{"alive", "suspect", "dead", "left"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Gone tells that a member takes no part.
+func (s State) Gone() bool { return s >= Dead }
+
+// maxIncarnation bounds what is believed: only a member itself raises its incarnation, by one at a time.
+const maxIncarnation = 1 << 30
+
+// claim is what somebody says of a member.
+type claim struct {
+	id          ID
+	state       State
+	incarnation uint32
+	by          ID // who suspects it
+}
+
+// overrides tells whether news of a member are newer than what is held of it. Only the member itself makes a later
+// incarnation, so a later one wins; of the same one, the worse state does.
+func (c claim) overrides(state State, incarnation uint32) bool {
+	if c.incarnation != incarnation {
+		return c.incarnation > incarnation
+	}
+	return c.state > state && !state.Gone()
+}
+
+// Datagrams begin with a byte that no note of package choice begins with, a version, and the kind. The sender's
+// incarnation and, but for digests, claims follow, as many as there are bytes.
+const (
+	Magic   = 'M'
+	version = 1
+	maxSize = 256
+)
+
+type kind uint8
+
+const (
+	kindPing kind = iota + 1
+	kindAck
+	kindPingReq // ping the target for the sender
+	kindNack    // the target has not answered yet
+	kindDigest  // what the sender's view comes to, by buckets
+	kindSame    // the view of the receiver's digest is the sender's as well
+	kindEntries // the sender's view of one bucket; want asks for the receiver's
+	kinds
+)
+
+const (
+	buckets     = 32
+	headSize    = 5
+	digestWidth = 4
+)
+
+type message struct {
+	kind        kind
+	seq         uint16
+	incarnation uint32 // of the sender
+	target      ID     // of a ping request
+	bucket      uint8
+	want        bool
+	digest      [buckets]uint32
+	claims      []claim
+}
+
+// head writes all but the claims.
+func (m message) head() []byte {
+	b := append(make([]byte, 0, maxSize), Magic, version, byte(m.kind))
+	b = binary.BigEndian.AppendUint16(b, m.seq)
+	b = binary.AppendUvarint(b, uint64(m.incarnation))
+	switch m.kind {
+	case kindPingReq:
+		b = binary.BigEndian.AppendUint32(b, uint32(m.target))
+	case kindDigest:
+		for _, d := range m.digest {
+			b = binary.BigEndian.AppendUint32(b, d)
+		}
+	case kindEntries:
+		b = append(b, m.bucket<<1)
+		if m.want {
+			b[len(b)-1] |= 1
+		}
+	}
+	return b
+}
+
+// appendClaim adds a claim, unless it does not fit.
+func appendClaim(b []byte, c claim) ([]byte, bool) {
+	full := len(b)
+	b = binary.BigEndian.AppendUint32(b, uint32(c.id))
+	b = append(b, byte(c.state))
+	b = binary.AppendUvarint(b, uint64(c.incarnation))
+	if c.state == Suspect {
+		b = binary.BigEndian.AppendUint32(b, uint32(c.by))
+	}
+	if len(b) > maxSize {
+		return b[:full], false
+	}
+	return b, true
+}
+
+// reader reads the fields of a datagram; bad is set when one is missing or impossible.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) take(n int) []byte {
+	if n > len(r.b) {
+		r.b, r.bad = nil, true
+		return make([]byte, n)
+	}
+	v := r.b[:n]
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) byte() byte { return r.take(1)[0] }
+
+func (r *reader) id() ID { return ID(binary.BigEndian.Uint32(r.take(4))) }
+
+func (r *reader) incarnation() uint32 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 || v > maxIncarnation {
+		r.b, r.bad = nil, true
+		return 0
+	}
+	r.b = r.b[n:]
+	return uint32(v)
+}
+
+// decode reads a datagram; ok is false for one that is cut, too long, of another version or with impossible numbers.
+func decode(b []byte) (m message, ok bool) {
+	if len(b) < headSize || len(b) > maxSize || b[0] != Magic || b[1] != version {
+		return m, false
+	}
+	r := &reader{b: b[2:]}
+	m.kind = kind(r.byte())
+	m.seq = binary.BigEndian.Uint16(r.take(2))
+	m.incarnation = r.incarnation()
+	switch m.kind {
+	case kindPingReq:
+		m.target = r.id()
+	case kindDigest:
+		for i := range m.digest {
+			m.digest[i] = uint32(r.id())
+		}
+	case kindEntries:
+		b := r.byte()
+		m.bucket, m.want = b>>1, b&1 == 1
+		r.bad = r.bad || m.bucket >= buckets
+	}
+	for len(r.b) > 0 {
+		c := claim{id: r.id(), state: State(r.byte()), incarnation: r.incarnation()}
+		if c.state == Suspect {
+			c.by = r.id()
+		}
+		r.bad = r.bad || c.state > Left
+		m.claims = append(m.claims, c)
+	}
+	return m, !r.bad && m.kind > 0 && m.kind < kinds
+}
