Let keepers follow membership: who is gone is passed over, a split shares the limit

Need: senders learn that a keeper is gone by three asks without an answer, and both sides of a split grant the whole limit.

The event Member tells that a sender is gone, has left, or is back. Keepers are ranked among those present, and who asked one that is gone asks the next at once. Who is gone without a word may be cut off and call on elsewhere: for 30 s the rest use only the part of a limit that goes by their number. A keeper that takes over begins with half, since the one before it may run and not know what is held of it. Without the event nothing changes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -100,6 +100,8 @@
 			s.setOut(e.Endpoint, true)
 		case Enabled:
 			s.setOut(e.Endpoint, false)
+		case Member:
+			s.met(e)
 		}
 	}
 	for _, e := range events {
@@ -606,11 +608,14 @@
 		part := max(knowingShare*even, demandShare*min(own, s.capacity(r)))
 		rate = s.cfg.FallMultiple * share * part
 		if r.whole {
-			rate = min(rate, r.part*s.capacity(r))
+			rate = min(rate, r.part*s.capacity(r)) * s.here()
 		}
 		return rate, true
 	}
 	limit := s.limit(r)
+	if r.whole {
+		limit *= s.here()
+	}
 	return r.part * limit, limit > 0
 }
 
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -31,8 +31,44 @@
 	fleetCutEvery = 250 * time.Millisecond // once for those of calls that were out together
 	fleetFloor    = 0.05                   // least share of the limit that all together try
 	fleetRestMost = time.Second            // longest rest of all after refusals in a row
+	splitLast     = 30 * time.Second       // who is gone without a word may be cut off and call on for so long
+	takeOver      = 0.5                    // part of the limit that a keeper begins with, beside one before it
 )
 
+// met takes what membership tells of another sender. One that is gone keeps no limit: who asked it asks the next at once.
+func (s *Sender) met(e Member) {
+	s.meet(e)
+	for _, d := range s.order {
+		if c, asked := &d.claim, s.keeper(d, d.claim.rank); s.rankAnew(d, c.rank) != asked {
+			c.rank, c.misses, c.wanted, c.alone = 0, 0, 0, false
+		}
+	}
+}
+
+// here is the part of a limit for those who are seen. The others may be cut off and take theirs on the other side.
+func (s *Sender) here() float64 {
+	lost := 0
+	for _, at := range s.lost {
+		if s.now-at < splitLast {
+			lost++
+		}
+	}
+	return 1 - float64(lost)/float64(s.cfg.Fleet)
+}
+
+// fleet is the route as its keeper knows it, for the calls of all.
+func (s *Sender) fleet(e *endpoint) *route {
+	if e.route.fleet == nil {
+		e.route.fleet = newRoute()
+		e.route.fleet.whole = true
+		if s.lost != nil { // another may have kept it until now, and not know yet that it is taken for gone
+			e.route.fleet.part = takeOver
+		}
+	}
+	e.route.fleet.weight = e.route.weight
+	return e.route.fleet
+}
+
 // claims asks for what the waiting messages could use now.
 func (s *Sender) claims() {
 	for _, d := range s.active {
@@ -128,26 +164,6 @@
 	}
 }
 
-func (s *Sender) noted(from int, n note) {
-	d := s.dests[n.dest]
-	if d == nil {
-		return
-	}
-	switch n.kind {
-	case noteAsk:
-		s.asked(d, from, n)
-	case noteGrant:
-		s.grantedBy(d, from, n)
-	case noteEnd:
-		for _, e := range d.endpoints {
-			if s.mark(e) == n.route {
-				s.fleetHeard(e, from, n.outcome, n.wait)
-				return
-			}
-		}
-	}
-}
-
 // grantedBy takes a keeper's answer, which may grant nothing yet. What is not needed then is given back.
 func (s *Sender) grantedBy(d *destination, from int, n note) {
 	c := &d.claim
@@ -196,11 +212,7 @@
 // grant grants what the destinations kept here have room for, and answers all that asked. It tells whether
 // something was granted to this sender itself.
 func (s *Sender) grant() (own bool) {
-	s.kept = slices.DeleteFunc(s.kept, func(d *destination) bool {
-		d.wants = slices.DeleteFunc(d.wants, func(w *want) bool { return s.now-w.at >= askedLast })
-		d.kept = len(d.wants) > 0
-		return !d.kept
-	})
+	s.dropWants()
 	for _, d := range s.kept {
 		for w := d.neediest(s.now); w != nil; w = d.neediest(s.now) {
 			e := s.fleetRoom(d, w.route)
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -30,6 +30,7 @@
 	attempts             map[string]int
 	lose, repeat         float64
 	late                 time.Duration // how much later some of the notes come
+	cut                  func(from, to int) bool
 }
 
 type happening struct {
@@ -132,6 +133,9 @@
 
 func (w *fleetWorld) carry(from int, a Tell) {
 	copies := 1
+	if w.cut != nil && w.cut(from, a.To) {
+		return
+	}
 	if w.rng.Float64() < w.lose {
 		copies = 0
 	} else if w.rng.Float64() < w.repeat {
--- a/choice/note.go
+++ b/choice/note.go
@@ -109,6 +109,27 @@
 	}
 }
 
+// noted hands a note to what it is for.
+func (s *Sender) noted(from int, n note) {
+	d := s.dests[n.dest]
+	if d == nil {
+		return
+	}
+	switch n.kind {
+	case noteAsk:
+		s.asked(d, from, n)
+	case noteGrant:
+		s.grantedBy(d, from, n)
+	case noteEnd:
+		for _, e := range d.endpoints {
+			if s.mark(e) == n.route {
+				s.fleetHeard(e, from, n.outcome, n.wait)
+				return
+			}
+		}
+	}
+}
+
 // ask sends an ask for so many calls.
 func (s *Sender) ask(d *destination, keeper, n int, urgency float64, route uint16) {
 	c := &d.claim
--- a/choice/state.go
+++ b/choice/state.go
@@ -23,12 +23,14 @@
 	rests   map[string]time.Duration // keys at rest until then
 	crowded map[int]time.Duration    // connection tables of a kind seem full until then
 	tenants []tenant
-	busy    int                 // calls out
-	sent    map[attempt]sending // attempts without an outcome
-	active  []*destination      // with messages waiting or calls out; swept in release
-	kept    []*destination      // whose limits this sender keeps for others, while they ask
-	wakeAt  time.Duration       // the earliest wake asked for
-	asking  time.Duration       // pause before the list is asked for again
+	busy    int                   // calls out
+	sent    map[attempt]sending   // attempts without an outcome
+	active  []*destination        // with messages waiting or calls out; swept in release
+	kept    []*destination        // whose limits this sender keeps for others, while they ask
+	gone    map[int]bool          // senders that membership says are gone,
+	lost    map[int]time.Duration // and since when those are that did not say so; nil without membership
+	wakeAt  time.Duration         // the earliest wake asked for
+	asking  time.Duration         // pause before the list is asked for again
 	askAt   time.Duration
 	leaving bool
 	out     map[string]bool // endpoints that operators have taken out
@@ -388,17 +390,48 @@
 	return old + smoothing*(min(sample, 20*old)-old)
 }
 
-// keeper is the sender that keeps the destination's limit at a rank, the same for all senders.
+// keeper is the sender that keeps the destination's limit at a rank, the same for all senders that see the same others.
 func (s *Sender) keeper(d *destination, rank int) int {
 	if d.keepers == nil {
-		all := make([]int, s.cfg.Fleet)
-		for i := range all {
-			all[i] = i
+		return s.rankAnew(d, rank)
+	}
+	return d.keepers[min(rank, len(d.keepers)-1)]
+}
+
+// rankAnew ranks those who may keep the destination's limit, and returns the one at a rank, or else the last.
+func (s *Sender) rankAnew(d *destination, rank int) int {
+	var all []int
+	for i := range s.cfg.Fleet {
+		if !s.gone[i] {
+			all = append(all, i)
+		}
+	}
+	slices.SortFunc(all, func(a, b int) int { return cmp.Compare(mix(d.id, a), mix(d.id, b)) })
+	d.keepers = all[:min(keeperRanks, len(all))]
+	return d.keepers[min(rank, len(d.keepers)-1)]
+}
+
+// meet notes which senders are gone, and since when those are that have not said so. Lost is nil without membership.
+func (s *Sender) meet(e Member) {
+	if s.lost == nil {
+		s.gone, s.lost = map[int]bool{}, map[int]time.Duration{}
+	}
+	delete(s.gone, e.Number)
+	delete(s.lost, e.Number)
+	if e.Gone && e.Number != s.cfg.Number {
+		if s.gone[e.Number] = true; !e.Left {
+			s.lost[e.Number] = s.now
 		}
-		slices.SortFunc(all, func(a, b int) int { return cmp.Compare(mix(d.id, a), mix(d.id, b)) })
-		d.keepers = all[:min(keeperRanks, len(all))]
 	}
-	return d.keepers[rank]
+}
+
+// dropWants forgets asks that have not been said again, and destinations without any.
+func (s *Sender) dropWants() {
+	s.kept = slices.DeleteFunc(s.kept, func(d *destination) bool {
+		d.wants = slices.DeleteFunc(d.wants, func(w *want) bool { return s.now-w.at >= askedLast })
+		d.kept = len(d.wants) > 0
+		return !d.kept
+	})
 }
 
 func (s *Sender) mostWorth() float64 {
@@ -422,16 +455,6 @@
 	}
 }
 
-// fleet is what a keeper knows of an endpoint's route from all senders' calls.
-func (s *Sender) fleet(e *endpoint) *route {
-	if e.route.fleet == nil {
-		e.route.fleet = newRoute()
-		e.route.fleet.whole = true
-	}
-	e.route.fleet.weight = e.route.weight
-	return e.route.fleet
-}
-
 // othersOpen tells that other endpoints of its route take connections, as far as it is known.
 func (s *Sender) othersOpen(ep *endpoint) bool {
 	return slices.ContainsFunc(ep.dest.endpoints, func(o *endpoint) bool {
--- a/choice/types.go
+++ b/choice/types.go
@@ -110,7 +110,7 @@
 }
 
 // Event is one piece of news for a sender: Listed, Arrived, Resumed, Ended, Dropped, Probed, Told,
-// Rang, Leaving, Disabled or Enabled.
+// Rang, Leaving, Disabled, Enabled or Member.
 type Event interface{ event() }
 
 // Listed brings the list of endpoints, whole or as changes.
@@ -182,6 +182,14 @@
 // Enabled says that operators have put an endpoint back. It was most likely restarted meanwhile.
 type Enabled struct{ Endpoint string }
 
+// Member says that another sender of the fleet is gone, or back. Who has left has said so; who is gone otherwise may
+// be cut off from this one, and go on elsewhere.
+type Member struct {
+	Number     int
+	Gone, Left bool
+}
+
+func (Member) event()   {}
 func (Leaving) event()  {}
 func (Disabled) event() {}
 func (Enabled) event()  {}
