Let nodes tell each other who is there, behind the section membership

Need: the core of membership needs a socket, a clock and a file, and the keepers its news.

The loop owns the core: datagrams that begin with its mark go there, others to the module; it ticks with the loop's timer, and changes go to the module as events. Each process that comes to own the node takes the next incarnation from its folder, so that an upgrade reads as a restart. SIGTERM leaves. The door shows the view, with reasons, and how long ago it agreed with another's. Without the section no datagram is sent and the door says 404.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 
@@ -27,7 +28,8 @@
 	PeerListen  string          `json:"peer_listen"` // where datagrams of other nodes come
 	Peers       []string        `json:"peers"`       // all nodes by their numbers, this one too
 	Known       list            `json:"known"`
-	Registry    *ListService    `json:"registry"` // the project's own list service, in place of Discovery; nil for none
+	Registry    *ListService    `json:"registry"`   // the project's own list service, in place of Discovery; nil for none
+	Membership  *Membership     `json:"membership"` // nodes tell each other who is there; nil for off
 	RawSettings json.RawMessage `json:"settings"`
 
 	State    string          `json:"-"` // the folder that lasts
@@ -53,7 +55,7 @@
 	if c.Settings, err = wire.Settings(c.RawSettings); err != nil {
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
-	if err := c.Registry.check(); err != nil {
+	if err := errors.Join(c.Registry.check(), c.Membership.check(c)); err != nil {
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	if c.Names, err = wire.SettingsNames(c.RawSettings); err != nil {
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"net"
@@ -22,12 +23,15 @@
 var (
 	errUnknownEndpoint = errors.New("no such endpoint")
 	errNotServing      = errors.New("this process does not serve now")
+	errNoMembership    = errors.New("membership is off")
+	errNoPeers         = errors.New("the socket to the other nodes could not be opened")
 )
 
 // operators is what the door needs of the node.
 type operators interface {
 	ready() bool
 	stats() []byte
+	fellowship(ctx context.Context) (*view, error)
 	disable(ctx context.Context, endpoint string) error
 	enable(ctx context.Context, endpoint string) error
 	drain(ctx context.Context, on bool) error
@@ -83,6 +87,23 @@
 			log.Debug("figures not taken", "err", err)
 		}
 	})
+	mux.HandleFunc("GET /ops/members", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), orderWait)
+		defer cancel()
+		v, err := n.fellowship(ctx)
+		switch {
+		case errors.Is(err, errNoMembership):
+			http.Error(w, err.Error(), http.StatusNotFound)
+			return
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(v); err != nil {
+			log.Debug("members not taken", "err", err)
+		}
+	})
 	mux.HandleFunc("PUT /ops/endpoints/down", endpoint(n.disable))
 	mux.HandleFunc("PUT /ops/endpoints/up", endpoint(n.enable))
 	mux.HandleFunc("PUT /ops/drain/start", drain(true))
@@ -160,6 +181,27 @@
 
 func (n *Node) stats() []byte { return n.figures.text() }
 
+// fellowship asks the loop who is there.
+func (n *Node) fellowship(ctx context.Context) (*view, error) {
+	if n.cfg.Membership == nil {
+		return nil, errNoMembership
+	}
+	if !n.serving.Load() {
+		return nil, errNotServing
+	}
+	ask := viewAsk{make(chan *view, 1)}
+	n.tell(ctx, ask)
+	select {
+	case v := <-ask.reply:
+		if v == nil {
+			return nil, errNoPeers
+		}
+		return v, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 func (n *Node) disable(ctx context.Context, endpoint string) error {
 	return n.tellOrder(ctx, order{endpoint: endpoint, on: true})
 }
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -23,7 +23,10 @@
 func (f fakeOperators) stats() []byte                         { return []byte("router.active:14|g\n") }
 func (f fakeOperators) disable(context.Context, string) error { return f.no }
 func (f fakeOperators) enable(context.Context, string) error  { return f.no }
-func (f fakeOperators) drain(context.Context, bool) error     { return f.no }
+func (f fakeOperators) fellowship(context.Context) (*view, error) {
+	return nil, errNoMembership
+}
+func (f fakeOperators) drain(context.Context, bool) error { return f.no }
 
 func openDoor(t *testing.T, n operators) string {
 	t.Helper()
--- /dev/null
+++ b/internal/node/fellows.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"starlingusher/choice"
+	"starlingusher/internal/membership"
+)
+
+// Membership is the section of the configuration by which nodes tell each other who is there.
+type Membership struct {
+	PeriodMS  int64 `json:"period_ms"`  // between pings; 0 for the default
+	TimeoutMS int64 `json:"timeout_ms"` // for an answer, before others are asked; 0 for the default
+}
+
+const (
+	incarnationName    = "incarnation"
+	defaultPing        = 500 * time.Millisecond
+	defaultPingTimeout = 150 * time.Millisecond
+	leastPing          = 50 * time.Millisecond
+	mostPing           = time.Minute
+)
+
+// check tells what is wrong with the section, or with what it needs.
+func (m *Membership) check(c Config) error {
+	if m == nil {
+		return nil
+	}
+	if c.PeerListen == "" || len(c.Peers) < 2 || !c.Settings.MayTell {
+		return errors.New("membership needs peer_listen, peers, and settings that allow notes")
+	}
+	if c.Settings.Number < 0 || c.Settings.Number >= len(c.Peers) {
+		return fmt.Errorf("membership: number %d is none of %d peers", c.Settings.Number, len(c.Peers))
+	}
+	seen := map[membership.ID]string{}
+	for _, addr := range c.Peers {
+		id := membership.IDOf(addr)
+		if before, ok := seen[id]; ok {
+			return fmt.Errorf("membership: the peers %s and %s can't be told apart", before, addr)
+		}
+		seen[id] = addr
+	}
+	if p := m.period(); p < leastPing || p > mostPing {
+		return fmt.Errorf("membership.period_ms is %d: from %d to %d", m.PeriodMS, leastPing.Milliseconds(), mostPing.Milliseconds())
+	}
+	if t := m.timeout(); t <= 0 || t > m.period()/2 {
+		return fmt.Errorf("membership.timeout_ms is %d: over 0, at most half of the period", m.TimeoutMS)
+	}
+	return nil
+}
+
+func (m *Membership) period() time.Duration {
+	if m.PeriodMS == 0 {
+		return defaultPing
+	}
+	return time.Duration(m.PeriodMS) * time.Millisecond
+}
+
+func (m *Membership) timeout() time.Duration {
+	if m.TimeoutMS == 0 {
+		return min(defaultPingTimeout, m.period()/3)
+	}
+	return time.Duration(m.TimeoutMS) * time.Millisecond
+}
+
+// fellows is the node's side of membership: the loop owns it, and hands it datagrams and the time.
+type fellows struct {
+	core *membership.Core
+	path string // of the incarnation
+	kept uint32 // what stands there
+}
+
+// memberNote is a datagram of membership.
+type memberNote struct {
+	from int
+	text []byte
+}
+
+// viewAsk asks the loop who is there.
+type viewAsk struct{ reply chan *view }
+
+// newFellows begins membership under an incarnation that this node never had, or nil where it is off. Each process
+// that comes to own the node is one more incarnation, so that one process after the other reads as a restart.
+func (n *Node) newFellows() *fellows {
+	m := n.cfg.Membership
+	if m == nil || n.peers == nil {
+		return nil
+	}
+	f := &fellows{path: filepath.Join(n.cfg.State, incarnationName)}
+	last, err := readIncarnation(f.path)
+	if err != nil {
+		n.log.Warn("the incarnation is learnt from the others", "err", err)
+	}
+	ids := make([]membership.ID, len(n.peers.addrs))
+	for i, addr := range n.peers.addrs {
+		ids[i] = membership.IDOf(addr.String())
+	}
+	f.core = membership.New(membership.Config{
+		Self: n.cfg.Settings.Number, Members: ids, Incarnation: last + 1, Period: m.period(), Timeout: m.timeout(),
+		Seed: seed(n.cfg.Seed),
+	}, n.now())
+	f.keep(n)
+	return f
+}
+
+// readIncarnation reads what was kept; no file is 0.
+func readIncarnation(path string) (uint32, error) {
+	raw, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("incarnation: %w", err)
+	}
+	v, err := strconv.ParseUint(strings.TrimSpace(string(raw)), 10, 32)
+	if err != nil {
+		return 0, fmt.Errorf("incarnation: %w", err)
+	}
+	return uint32(v), nil
+}
+
+// keep writes the incarnation down before anybody hears of it. Without room on the disk, the next start learns it from
+// the others, who hold the node for gone until then.
+func (f *fellows) keep(n *Node) {
+	if f.core.Incarnation() == f.kept {
+		return
+	}
+	f.kept = f.core.Incarnation()
+	if err := replaceFile(f.path, fmt.Appendln(nil, f.kept)); err != nil {
+		n.log.Warn("the incarnation is not kept", "err", err)
+	}
+}
+
+// wait is how long it is until membership has something to do.
+func (f *fellows) wait(now time.Duration) time.Duration {
+	if f == nil {
+		return time.Hour
+	}
+	return max(f.core.Wake()-now, 0)
+}
+
+// meet does what is due, after the datagrams that have come were handed in, and returns the news for the module.
+func (n *Node) meet() (events []choice.Event) {
+	f := n.fellows
+	if f == nil {
+		return nil
+	}
+	if now := n.now(); now >= f.core.Wake() {
+		f.core.Tick(now)
+	}
+	out, changes := f.core.Take()
+	f.keep(n)
+	for _, d := range out {
+		n.peers.send(choice.Tell{To: d.To, Text: d.Text}, n.log)
+	}
+	if len(changes) == 0 {
+		return nil
+	}
+	seen := f.core.View()
+	for _, c := range changes {
+		m := seen[c.Member]
+		n.log.Info("member", "number", c.Member, "addr", n.peers.addrs[c.Member], "state", m.State, "reason", m.Reason)
+		events = append(events, choice.Member{Number: c.Member, Gone: c.Gone, Left: m.State == membership.Left})
+	}
+	return events
+}
+
+// view is what the door shows of the others.
+type view struct {
+	Number      int      `json:"number"`
+	Incarnation uint32   `json:"incarnation"`
+	AgreedMS    *int64   `json:"agreed_ms_ago"` // null: not yet
+	Health      int      `json:"health"`        // 0 is good
+	Present     int      `json:"present"`
+	Suspect     int      `json:"suspect"`
+	Members     []fellow `json:"members"`
+}
+
+type fellow struct {
+	Number      int    `json:"number"`
+	Addr        string `json:"address"`
+	State       string `json:"state"`
+	Reason      string `json:"reason"`
+	Incarnation uint32 `json:"incarnation"`
+	SinceMS     int64  `json:"since_ms"`
+	HeardMS     *int64 `json:"heard_ms_ago"` // null: never
+}
+
+// ago is the time since then in milliseconds, nil for never.
+func ago(now, then time.Duration) *int64 {
+	if then == 0 {
+		return nil
+	}
+	ms := (now - then).Milliseconds()
+	return &ms
+}
+
+// view is nil where the fleet's socket could not be opened.
+func (n *Node) view() *view {
+	if n.fellows == nil {
+		return nil
+	}
+	core, now := n.fellows.core, n.now()
+	agreed, health := core.Agreed()
+	v := &view{
+		Number: n.cfg.Settings.Number, Incarnation: core.Incarnation(), AgreedMS: ago(now, agreed), Health: health,
+	}
+	v.Present, v.Suspect = core.Present()
+	for _, m := range core.View() {
+		v.Members = append(v.Members, fellow{
+			Number: m.Member, Addr: n.peers.addrs[m.Member].String(), State: m.State.String(), Reason: string(m.Reason),
+			Incarnation: m.Incarnation, SinceMS: (now - m.Since).Milliseconds(), HeardMS: ago(now, m.Heard),
+		})
+	}
+	return v
+}
--- /dev/null
+++ b/internal/node/fellows_test.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// fleetOf are nodes of a test that know each other's addresses.
+type fleetOf struct {
+	t     *testing.T
+	r     *registry
+	peers []string
+	state []string
+	doors []string
+	kill  []func() // as SIGKILL would: nobody is told
+	stop  []func() // as SIGTERM does
+}
+
+func newFleetOf(t *testing.T, size int) *fleetOf {
+	t.Helper()
+	f := &fleetOf{
+		t: t, r: newRegistry(t), doors: make([]string, size), kill: make([]func(), size), stop: make([]func(), size),
+	}
+	t.Cleanup(func() { // together, for each takes its time to leave
+		var stopping sync.WaitGroup
+		for _, stop := range f.stop {
+			if stop != nil {
+				stopping.Go(stop)
+			}
+		}
+		stopping.Wait()
+	})
+	for range size {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		f.peers = append(f.peers, conn.LocalAddr().String())
+		f.state = append(f.state, t.TempDir())
+	}
+	return f
+}
+
+// config is that of a node, with some sections beside the usual ones.
+func (f *fleetOf) config(i int, sections string) string {
+	f.t.Helper()
+	settings := strings.Replace(testSettings, `"fleetSize":1`, fmt.Sprintf(`"fleetSize":%d,"myNumber":%d`, len(f.peers), i), 1)
+	settings = strings.Replace(settings, `"cancel":true`, `"cancel":true,"mayTell":true`, 1)
+	peers, err := json.Marshal(f.peers)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	text := fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","discovery":%q,"seed":"%d","peer_listen":%q,"peers":%s,
+		"limits":{"cores":1,"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,"settings":%s%s}`,
+		i, f.r.addr(), i, f.peers[i], peers, listOf(1, true, held()), settings, sections)
+	path := filepath.Join(f.t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+const quickly = `,"membership":{"period_ms":60,"timeout_ms":20}`
+
+func (f *fleetOf) start(i int) {
+	f.t.Helper()
+	cfg, err := LoadConfig(f.config(i, quickly), f.state[i])
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var lns [2]net.Listener
+	for k := range lns {
+		if lns[k], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	n := New(cfg, slog.New(slog.DiscardHandler))
+	shut := n.ServeOperators(lns[1])
+	f.doors[i] = lns[1].Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx, lns[0]) }()
+	f.stop[i] = sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; err != nil {
+			f.t.Error(err)
+		}
+		shut()
+	})
+	eventually(f.t, "the node serves", n.ready)
+	f.kill[i] = func() { // the others hear no more of it, nor it of them
+		n.peers.close()
+	}
+}
+
+// view is what a node's door shows.
+func (f *fleetOf) view(i int) (v view) {
+	f.t.Helper()
+	code, body := operate(f.t, f.doors[i], "GET", "/ops/members")
+	if code != 200 || json.Unmarshal([]byte(body), &v) != nil {
+		f.t.Fatalf("members: %d %s", code, body)
+	}
+	return v
+}
+
+func (f *fleetOf) holds(i, of int, state string) func() bool {
+	return func() bool { return f.view(i).Members[of].State == state }
+}
+
+func TestNodesKnowWhoIsThere(t *testing.T) {
+	t.Parallel()
+	f := newFleetOf(t, 4)
+	for i := range 4 {
+		f.start(i)
+	}
+	for i := range 4 {
+		eventually(t, "all hear of all, and agree", func() bool {
+			v := f.view(i)
+			for k, m := range v.Members {
+				if m.State != "alive" || m.Incarnation != 1 || m.Addr != f.peers[k] || (k != i && m.HeardMS == nil) {
+					return false
+				}
+			}
+			return v.Present == 4 && v.Number == i && v.AgreedMS != nil
+		})
+	}
+	f.kill[3]()
+	for i := range 3 {
+		eventually(t, "a silent node is dead", f.holds(i, 3, "dead"))
+	}
+	f.stop[2]()
+	for i := range 2 {
+		eventually(t, "a node that ends has left", f.holds(i, 2, "left"))
+	}
+	f.start(2)
+	for i := range 2 {
+		eventually(t, "it is back", f.holds(i, 2, "alive"))
+		if got := f.view(i).Members[2].Incarnation; got != 2 {
+			t.Errorf("back under incarnation %d", got)
+		}
+	}
+	f.stop[2]()
+	if err := os.Remove(filepath.Join(f.state[2], incarnationName)); err != nil {
+		t.Fatal(err)
+	}
+	f.start(2)
+	for i := range 2 {
+		eventually(t, "it is back without its folder", func() bool {
+			m := f.view(i).Members[2]
+			return m.State == "alive" && m.Incarnation > 2
+		})
+	}
+	code, body := operate(t, f.doors[0], "GET", "/ops/stats")
+	if code != 200 || !strings.Contains(body, "router.members_present:3|g") || !strings.Contains(body, "router.members_strangers:0|c") {
+		t.Errorf("figures: %d %s", code, body)
+	}
+}
+
+func TestStrangersDatagramsAreCounted(t *testing.T) {
+	t.Parallel()
+	f := newFleetOf(t, 2)
+	f.start(0)
+	stranger, err := net.Dial("udp4", f.peers[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	eventually(t, "a stranger is counted", func() bool {
+		if _, err := stranger.Write([]byte("M")); err != nil {
+			t.Fatal(err)
+		}
+		_, body := operate(t, f.doors[0], "GET", "/ops/stats")
+		return !strings.Contains(body, "router.members_strangers:0|c")
+	})
+}
+
+func TestMembershipIsOffUnlessConfigured(t *testing.T) {
+	t.Parallel()
+	_, door, _ := startOperated(t, newRegistry(t), t.TempDir(), held())
+	if code, body := operate(t, door, "GET", "/ops/members"); code != 404 || !strings.Contains(body, "off") {
+		t.Errorf("members: %d %s", code, body)
+	}
+	if _, body := operate(t, door, "GET", "/ops/stats"); strings.Contains(body, "members_") {
+		t.Errorf("figures: %s", body)
+	}
+}
+
+func TestBadMembershipIsRefused(t *testing.T) {
+	f := newFleetOf(t, 3)
+	for section, says := range map[string]string{
+		`,"membership":{"period_ms":1}`:                   "period_ms",
+		`,"membership":{"period_ms":-5}`:                  "period_ms",
+		`,"membership":{"period_ms":100,"timeout_ms":99}`: "timeout_ms",
+		`,"membership":{"period_ms":100,"timeout_ms":-1}`: "timeout_ms",
+		`,"membership":{},"peer_listen":""`:               "peer_listen",
+		`,"membership":{},"peers":["127.0.0.1:1"]`:        "peers",
+		`,"membership":{},"peers":["a:1","b:1","a:1"]`:    "told apart",
+	} {
+		if _, err := LoadConfig(f.config(0, section), t.TempDir()); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%s: %v", section, err)
+		}
+	}
+	if cfg, err := LoadConfig(f.config(0, `,"membership":{}`), t.TempDir()); err != nil || cfg.Membership.period() != 500*time.Millisecond {
+		t.Errorf("the defaults: %v", err)
+	}
+	f.peers = f.peers[:2]
+	if _, err := LoadConfig(f.config(1, `,"membership":{},"settings":{"myNumber":2,"limits":{"mayTell":true}}`), t.TempDir()); err == nil {
+		t.Error("a number that is none of the peers")
+	}
+}
+
+// During an upgrade two processes have one address: for the others it is a restart, and nobody is gone.
+func TestAnUpgradeIsNoDeath(t *testing.T) {
+	t.Parallel()
+	f := newFleetOf(t, 3)
+	for i := range 3 {
+		f.start(i)
+	}
+	eventually(t, "all hear of all", func() bool { return f.view(1).Members[0].HeardMS != nil })
+	before := f.stop[0]
+	f.start(0) // beside the other, on its folder
+	before()
+	for i := 1; i < 3; i++ {
+		eventually(t, "the new process is known", func() bool {
+			m := f.view(i).Members[0]
+			if m.State == "dead" || m.State == "left" {
+				t.Errorf("it is held for %s", m.State)
+			}
+			return m.Incarnation == 2
+		})
+		if got := f.view(i); got.Members[0].State != "alive" {
+			t.Errorf("it is held for %s", got.Members[0].State)
+		}
+	}
+}
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync/atomic"
 	"time"
+
+	"starlingusher/internal/membership"
 )
 
 // figures are what the operators read. Counters run from the start of the process, each counted once, where its
@@ -16,6 +18,10 @@
 
 	active, poolSize, poolEjected atomic.Int64
 
+	// Of the other nodes; told only where membership is on.
+	fellows                                     bool
+	present, suspects, agreedAgo, health        atomic.Int64
+	refuted, probes, missed, strange, strangers atomic.Int64
 	// Of the list; told only where it is the project's own service's.
 	ownList                                         bool
 	listRevision, listOlder, listDoubted, listTurns atomic.Int64
@@ -60,6 +66,23 @@
 // listLine notes that a list server has said something.
 func (f *figures) listLine() { f.listHeard.Store(time.Now().UnixNano()) }
 
+// publishFellows brings the figures of membership up to date.
+func (f *figures) publishFellows(core *membership.Core, now time.Duration) {
+	present, suspects := core.Present()
+	agreed, health := core.Agreed()
+	f.present.Store(int64(present))
+	f.suspects.Store(int64(suspects))
+	f.agreedAgo.Store(-1)
+	if agreed > 0 {
+		f.agreedAgo.Store((now - agreed).Milliseconds())
+	}
+	f.health.Store(int64(health))
+	f.refuted.Store(core.Counts.Refuted)
+	f.probes.Store(core.Counts.Probes)
+	f.missed.Store(core.Counts.Missed)
+	f.strange.Store(core.Counts.Strange)
+}
+
 // text writes the figures as StatsD lines.
 func (f *figures) text() []byte {
 	var b bytes.Buffer
@@ -80,5 +103,16 @@
 		fmt.Fprintf(&b, "router.list_older:%d|c\n", f.listOlder.Load())
 		fmt.Fprintf(&b, "router.list_doubted:%d|c\n", f.listDoubted.Load())
 	}
+	if f.fellows {
+		fmt.Fprintf(&b, "router.members_present:%d|g\n", f.present.Load())
+		fmt.Fprintf(&b, "router.members_suspect:%d|g\n", f.suspects.Load())
+		fmt.Fprintf(&b, "router.members_agreed_ms:%d|g\n", f.agreedAgo.Load())
+		fmt.Fprintf(&b, "router.members_health:%d|g\n", f.health.Load())
+		fmt.Fprintf(&b, "router.members_refuted:%d|c\n", f.refuted.Load())
+		fmt.Fprintf(&b, "router.members_probes:%d|c\n", f.probes.Load())
+		fmt.Fprintf(&b, "router.members_missed:%d|c\n", f.missed.Load())
+		fmt.Fprintf(&b, "router.members_strange:%d|c\n", f.strange.Load())
+		fmt.Fprintf(&b, "router.members_strangers:%d|c\n", f.strangers.Load())
+	}
 	return b.Bytes()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	client    *http.Client
 	discovery *discovery // shared
 	peers     *peers     // nil if the fleet has no datagrams
+	fellows   *fellows   // nil without membership
 	lock      *os.File   // this process owns the node while it has it
 	orders    *orders
 	clients   *clients    // shared
@@ -113,7 +114,7 @@
 		messages: map[string]*past{}, out: map[attempt]outCall{}, eps: map[string]*endpoint{},
 		waits: map[int]*atomic.Int64{}, dests: map[int]bool{}, named: map[string]bool{},
 	}
-	n.figures.ownList = cfg.Registry != nil
+	n.figures.ownList, n.figures.fellows = cfg.Registry != nil, cfg.Membership != nil
 	return n
 }
 
@@ -227,8 +228,8 @@
 	if n.peers, err = listenToPeers(term, n.cfg); err != nil {
 		n.log.Error("no notes to or from other nodes", "err", err)
 	}
-	if n.peers != nil {
-		parts.Go(func() { n.peers.receive(term, n.log, n.noted) })
+	if n.fellows = n.newFellows(); n.peers != nil {
+		parts.Go(func() { n.peers.receive(term, n.log, &n.figures.strangers, n.noted) })
 		defer n.peers.close()
 	}
 	n.clients.drain(n.orders.drained)
@@ -288,7 +289,7 @@
 }
 
 // noted hands the loop a note, unless it is too busy: a note may be lost, a socket's reader must not wait.
-func (n *Node) noted(e choice.Told) bool {
+func (n *Node) noted(e any) bool {
 	select {
 	case n.events <- e:
 		return true
@@ -359,7 +360,7 @@
 	if n.kept != nil {
 		wait = min(wait, n.kept.wait(time.Now()))
 	}
-	return wait
+	return min(wait, n.fellows.wait(n.now()))
 }
 
 // take turns a batch into the module's events, and steps.
@@ -382,8 +383,17 @@
 			}
 		case choice.Told:
 			events = append(events, e)
+		case memberNote:
+			if n.fellows != nil {
+				n.fellows.core.Receive(n.now(), e.from, e.text)
+			}
+		case viewAsk:
+			e.reply <- n.view()
 		case choice.Leaving:
 			events = append(events, e)
+			if n.fellows != nil {
+				n.fellows.core.Leave(n.now())
+			}
 		case order:
 			if news := n.obey(e); news != nil {
 				events = append(events, news)
@@ -397,6 +407,7 @@
 			events = append(events, n.arrived(n.messages[e.id], e.came.Add(e.life)))
 		}
 	}
+	events = append(events, n.meet()...)
 	// What the module is about to be told of, and the clients with it, rests on these records.
 	if err := n.journal.flush(); err != nil && len(fresh) > 0 {
 		n.log.Error("messages turned away", "err", err)
@@ -626,6 +637,9 @@
 	size, avoided := n.sender.Pool()
 	n.figures.active.Store(int64(n.held))
 	n.figures.listRevision.Store(n.revision)
+	if n.fellows != nil {
+		n.figures.publishFellows(n.fellows.core, n.now())
+	}
 	n.figures.poolSize.Store(int64(size))
 	n.figures.poolEjected.Store(int64(avoided))
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,9 +6,11 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"starlingusher/choice"
+	"starlingusher/internal/membership"
 )
 
 const (
@@ -53,8 +55,8 @@
 	return nil, err
 }
 
-// receive hands on what other nodes send, until the socket is closed.
-func (p *peers) receive(ctx context.Context, log *slog.Logger, tell func(choice.Told) bool) {
+// receive hands on what other nodes send, until the socket is closed. What comes from elsewhere is counted.
+func (p *peers) receive(ctx context.Context, log *slog.Logger, strangers *atomic.Int64, tell func(any) bool) {
 	b := make([]byte, maxDatagram+1)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(b)
@@ -70,9 +72,15 @@
 		}
 		number, ok := p.numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		if !ok || n > maxDatagram {
+			strangers.Add(1)
 			continue // nobody of the fleet
 		}
-		tell(choice.Told{From: number, Text: append([]byte(nil), b[:n]...)})
+		text := append([]byte(nil), b[:n]...)
+		if n > 0 && text[0] == membership.Magic {
+			tell(memberNote{number, text})
+		} else {
+			tell(choice.Told{From: number, Text: text})
+		}
 	}
 }
 
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -5,7 +5,9 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,23 +40,32 @@
 func TestNotesReachTheNodeTheyAreFor(t *testing.T) {
 	a, b, stranger := peerSockets(t)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	got := make(chan choice.Told, 8)
+	got := make(chan any, 8)
+	var strangers atomic.Int64
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		b.receive(t.Context(), log, func(e choice.Told) bool { got <- e; return true })
+		b.receive(t.Context(), log, &strangers, func(e any) bool { got <- e; return true })
 	}()
 	stranger.send(choice.Tell{To: 1, Text: []byte("of nobody")}, log)
 	a.send(choice.Tell{To: 1, Text: []byte(strings.Repeat("x", maxDatagram+1))}, log)
 	a.send(choice.Tell{To: 7, Text: []byte("to nobody")}, log)
 	a.send(choice.Tell{To: 1, Text: []byte("a note")}, log)
-	select {
-	case e := <-got:
-		if e.From != 0 || string(e.Text) != "a note" {
-			t.Errorf("got %q of %d", e.Text, e.From)
+	a.send(choice.Tell{To: 1, Text: []byte("Membership's")}, log)
+	for _, want := range []any{
+		choice.Told{From: 0, Text: []byte("a note")}, memberNote{0, []byte("Membership's")},
+	} {
+		select {
+		case e := <-got:
+			if !reflect.DeepEqual(e, want) {
+				t.Errorf("got %q, want %q", e, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("never came: %q", want)
 		}
-	case <-time.After(5 * time.Second):
-		t.Fatal("the note did not come")
+	}
+	if got := strangers.Load(); got != 1 {
+		t.Errorf("%d datagrams of strangers", got)
 	}
 	b.close()
 	select {
