--- a/choice/member_test.go
+++ b/choice/member_test.go
@@ -110,3 +110,28 @@
 		}
 	}
 }
+
+// Half of a fleet takes the first keeper for gone, which runs and knows nothing of it. Two keepers grant, but not both
+// the whole.
+func TestTwoKeepersDoNotGrantTheWholeBoth(t *testing.T) {
+	w := newFleet(t, 40, true)
+	w.run(5*time.Second, 1.5*fleetLimit)
+	first := w.senders[0].keeper(w.senders[0].dests[0], 0)
+	second := w.senders[0].keeper(w.senders[0].dests[0], 1)
+	for i := range w.senders {
+		if i != first && (i%2 == 0 || i == second) {
+			w.step(i, Member{Number: first, Gone: true})
+		}
+	}
+	w.passed, w.full = 0, 0
+	const span = 1500 * time.Millisecond
+	w.run(span, 4*fleetLimit)
+	sent, limit := w.passed+w.full, int(fleetLimit*seconds(span))
+	t.Logf("%d calls in %v, of %d that the limit allows", sent, span, limit)
+	if most := limit * 16 / 10; sent > most {
+		t.Errorf("%d calls are made, more than %d", sent, most)
+	}
+	if sent < limit/2 {
+		t.Errorf("only %d calls are made", sent)
+	}
+}
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -26,6 +26,7 @@
 	events events
 	lost   float64
 	twice  float64
+	old    float64                 // share of the datagrams that come up to ten periods late
 	cut    func(from, to int) bool // nil for none
 	paused []time.Duration         // a core does nothing before this
 	sent   []int
@@ -124,7 +125,11 @@
 		}
 		for copies := 1 + b2i(f.rng.Float64() < f.twice); copies > 0; copies-- {
 			if f.rng.Float64() >= f.lost {
-				f.push(event{at: f.now + time.Millisecond + rand1(f.rng, 20*time.Millisecond), node: d.To, from: i, text: d.Text})
+				delay := time.Millisecond + rand1(f.rng, 20*time.Millisecond)
+				if f.rng.Float64() < f.old {
+					delay += rand1(f.rng, 10*testPeriod)
+				}
+				f.push(event{at: f.now + delay, node: d.To, from: i, text: d.Text})
 			}
 		}
 	}
@@ -570,3 +575,30 @@
 		}
 	})
 }
+
+// Datagrams that come many periods late, twice and out of order, say nothing that holds any more.
+func TestOldDatagrams(t *testing.T) {
+	for seed := range uint64(2) {
+		f := newFleet(t, 40, seed)
+		f.twice, f.old = 0.2, 0.1
+		f.startAll()
+		f.run(20 * time.Second)
+		for range 6 {
+			victim := 1 + f.rng.IntN(39)
+			f.kill(victim)
+			f.run(5 * time.Second)
+			f.start(victim)
+			f.run(10 * time.Second)
+		}
+		f.old = 0
+		f.run(40 * time.Second) // what is on the way comes
+		if !f.agree() {
+			t.Errorf("seed %d: they do not agree", seed)
+		}
+		for i, c := range f.cores {
+			if c.Incarnation() > 40 {
+				t.Errorf("seed %d: %d had to refute until incarnation %d", seed, i, c.Incarnation())
+			}
+		}
+	}
+}
