--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -31,11 +31,11 @@
 	fleetCutEvery = 250 * time.Millisecond // once for those of calls that were out together
 	fleetFloor    = 0.05                   // least share of the limit that all together try
 	fleetRestMost = time.Second            // longest rest of all after refusals in a row
-	splitLast     = 30 * time.Second       // who is gone without a word may be cut off and call on for so long
-	takeOver      = 0.5                    // part of the limit that a keeper begins with, beside one before it
+	splitLast     = 30 * time.Second       // who is gone without a word may call on elsewhere so long
+	takeOver      = 0.5                    // part of the limit that a keeper begins with
 )
 
-// met takes what membership tells of another sender. One that is gone keeps no limit: who asked it asks the next at once.
+// met takes what membership tells of another sender. Who asked one that is gone asks the next at once.
 func (s *Sender) met(e Member) {
 	s.meet(e)
 	for _, d := range s.order {
@@ -45,7 +45,7 @@
 	}
 }
 
-// here is the part of a limit for those who are seen. The others may be cut off and take theirs on the other side.
+// here is the part of a limit for those who are seen. The others may be cut off, and take theirs there.
 func (s *Sender) here() float64 {
 	lost := 0
 	for _, at := range s.lost {
@@ -61,7 +61,7 @@
 	if e.route.fleet == nil {
 		e.route.fleet = newRoute()
 		e.route.fleet.whole = true
-		if s.lost != nil { // another may have kept it until now, and not know yet that it is taken for gone
+		if s.lost != nil { // another may keep it still, and not know that it is taken for gone
 			e.route.fleet.part = takeOver
 		}
 	}
