Hand a limit over when its keeper leaves, and let who takes over begin at half in truth

Need: a keeper that leaves knows what a destination takes of late; the next one began without it.

With membership on, a sender that is about to end tells the next keeper of each limit kept here. Found by its test: the part that a keeper begins with had no time, so that it grew at once as if for ages (a half to 0.75, 0.2 to 0.45).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -124,6 +124,7 @@
 			s.wakeAt = 0 // a rounded clock may ring a little before the time
 		case Leaving:
 			s.leaving = true
+			s.handOver(e)
 		}
 	}
 	if s.askAt > 0 && now >= s.askAt {
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -62,7 +62,7 @@
 		e.route.fleet = newRoute()
 		e.route.fleet.whole = true
 		if s.lost != nil { // another may keep it still, and not know that it is taken for gone
-			e.route.fleet.part = takeOver
+			e.route.fleet.part, e.route.fleet.partAt = takeOver, s.now
 		}
 	}
 	e.route.fleet.weight = e.route.weight
--- a/choice/note.go
+++ b/choice/note.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 )
@@ -14,6 +15,7 @@
 	noteAsk   noteKind = 'a' // the sender could use so many calls
 	noteGrant noteKind = 'g' // the receiver may make so many calls
 	noteEnd   noteKind = 'e' // a call has ended
+	noteHand  noteKind = 'h' // the sender leaves, and the route takes so many 255ths of its limit
 )
 
 const noteSize = 11
@@ -39,7 +41,7 @@
 		b = binary.BigEndian.AppendUint16(b, n.seq)
 		b = binary.BigEndian.AppendUint16(b, n.seen)
 		b = append(b, byte(n.count), n.urgency)
-	case noteGrant:
+	case noteGrant, noteHand:
 		b = binary.BigEndian.AppendUint16(b, n.seq)
 		b = append(b, byte(n.count))
 	case noteEnd:
@@ -58,7 +60,7 @@
 	case n.kind == noteAsk && len(b) == noteSize:
 		n.seq, n.seen = binary.BigEndian.Uint16(b[5:]), binary.BigEndian.Uint16(b[7:])
 		n.count, n.urgency = int(b[9]), b[10]
-	case n.kind == noteGrant && len(b) == 8:
+	case (n.kind == noteGrant || n.kind == noteHand) && len(b) == 8:
 		n.seq, n.count = binary.BigEndian.Uint16(b[5:]), int(b[7])
 	case n.kind == noteEnd && len(b) == 8 && Outcome(b[5]) <= Stale:
 		n.outcome = Outcome(b[5])
@@ -120,11 +122,38 @@
 		s.asked(d, from, n)
 	case noteGrant:
 		s.grantedBy(d, from, n)
-	case noteEnd:
+	case noteEnd, noteHand:
 		for _, e := range d.endpoints {
-			if s.mark(e) == n.route {
+			if s.mark(e) != n.route {
+				continue
+			}
+			if n.kind == noteEnd {
 				s.fleetHeard(e, from, n.outcome, n.wait)
-				return
+			} else {
+				f := s.fleet(e)
+				f.part, f.partAt = float64(n.count)/255, s.now
+			}
+			return
+		}
+	}
+}
+
+// handOver tells the next keeper of each limit that is kept here how much of it the destination takes of late.
+func (s *Sender) handOver(e Leaving) {
+	if !e.HandOver || !s.shared() {
+		return
+	}
+	for _, d := range s.order {
+		if s.keeper(d, 0) != s.cfg.Number {
+			continue
+		}
+		told := map[*route]bool{}
+		for _, ep := range d.endpoints {
+			if f := ep.route.fleet; f != nil && !told[f] {
+				told[f] = true
+				s.note(s.keeper(d, 1), note{
+					kind: noteHand, dest: d.id, route: s.mark(ep), count: int(math.Round(255 * min(max(f.part, 0), 1))),
+				})
 			}
 		}
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -172,8 +172,9 @@
 // Rang says that a Wake has fallen due.
 type Rang struct{ Tag string }
 
-// Leaving says that the process is about to end: what is out may finish, and nothing new should be sent.
-type Leaving struct{}
+// Leaving says that the process is about to end: what is out may finish, and nothing new should be sent. With HandOver
+// the others know of it, and whoever keeps a limit next is told what this sender knows of it.
+type Leaving struct{ HandOver bool }
 
 // Disabled says that operators have taken an endpoint out: whatever the list and its health say, nothing more goes
 // there until Enabled. The endpoint need not have been listed yet.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -390,10 +390,11 @@
 		case viewAsk:
 			e.reply <- n.view()
 		case choice.Leaving:
-			events = append(events, e)
 			if n.fellows != nil {
 				n.fellows.core.Leave(n.now())
+				e.HandOver = true
 			}
+			events = append(events, e)
 		case order:
 			if news := n.obey(e); news != nil {
 				events = append(events, news)
