Write a list log anew at most once a second when that fails, and test that it is bounded

Read, not traced: a log that had grown large and could not be written anew was tried to be at every change. It is now tried once a second, and changes are appended meanwhile.

--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -248,18 +248,19 @@
 	s.publish()
 }
 
-// write puts lists into the log, or a whole one in its place when it has grown large.
+// write puts lists into the log, or a whole one in its place when it has grown large or can't be appended to.
 func (s *Server) write(lists ...List) error {
-	if !s.store.Down() && !s.store.Large() {
-		return s.store.Append(lists...)
-	}
-	if s.store.Down() && s.now() < s.retryAt {
+	due, down := s.now() >= s.retryAt, s.store.Down()
+	switch {
+	case down && !due:
 		return errStoreDown
+	case !down && (!due || !s.store.Large()):
+		return s.store.Append(lists...)
 	}
 	s.retryAt = s.now() + storePause
-	whole := s.after(lists)
-	err := s.store.Compact(whole)
-	if err != nil && !s.store.Down() { // the old log has room yet
+	err := s.store.Compact(s.after(lists))
+	if err != nil && !down { // the old log may have room yet
+		s.log.Error("the log can't be written anew", "err", err)
 		return s.store.Append(lists...)
 	}
 	return err
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -625,3 +625,50 @@
 		}
 	})
 }
+
+// The log does not grow with the changes, and what it holds outlasts its being written anew. While that can't be done
+// it goes on growing, and changes are taken.
+func TestTheLogIsBounded(t *testing.T) {
+	a := start(t, testConfig(t), listen(t, "127.0.0.1:0"))
+	change := func(n int) {
+		t.Helper()
+		m := instance(n % 20)
+		m.Size = float64(2 + n)
+		if _, err := a.s.do(t.Context(), order{plan: a.s.asPrimary(func(now time.Duration) (List, any, error) {
+			l, err := a.s.cat.Register(now, 1, m)
+			return l, nil, err
+		})}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	size := func() int64 { return a.s.figures.logBytes.Load() }
+	const changes = 1500 // about 220 bytes each
+	n := 0
+	for range changes {
+		n++
+		change(n)
+	}
+	eventually(t, "the log is written anew", func() bool {
+		n++
+		change(n)
+		return size() < minCompact/2
+	})
+	want := a.list()
+	a = a.again()
+	if got := a.list(); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("was %+v, after a restart %+v", want, got)
+	}
+	if _, err := a.s.do(t.Context(), order{plan: func(time.Duration) (List, any, error) {
+		a.s.store.path = "/nowhere/list.log"
+		return List{}, nil, nil
+	}}); err != nil {
+		t.Fatal(err)
+	}
+	for range changes {
+		n++
+		change(n)
+	}
+	if size() <= minCompact {
+		t.Errorf("%d bytes: the log was not to be written anew", size())
+	}
+}
