--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -18,8 +18,8 @@
 const (
 	maxClaim      = 4 << 10
 	maxPost       = 64 << 10
-	readTimeout   = 2500 * time.Millisecond // for a whole request; who is slower is closed within 3 s
-	writeTimeout  = 3 * time.Second         // for one line to a watcher, or a whole answer
+	readTimeout   = 2 * time.Second // for a whole request; who is slower has to be closed within 3 s
+	writeTimeout  = 3 * time.Second // for one line to a watcher, or a whole answer
 	orderTimeout  = 2 * time.Second
 	idleTimeout   = time.Minute // longer than the pauses between renewals
 	idleLine      = 2 * time.Second
