--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 // A delivery node gives the module its settings once, then feeds it events and carries out the actions.
--- a/cmd/coralyard/main.go
+++ b/cmd/harrierramp/main.go
@@ -1,4 +1,4 @@
-// Command coralyard is one delivery node on real sockets. Its environment tells it what it is.
+// Command harrierramp is one delivery node on real sockets. Its environment tells it what it is.
 package main
 
 import (
@@ -14,13 +14,13 @@
 	"strconv"
 	"syscall"
 
-	"starlingusher/internal/node"
+	"harrierramp/internal/node"
 )
 
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	if err := run(log); err != nil {
-		log.Error("coralyard ends", "err", err)
+		log.Error("harrierramp ends", "err", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/registry/main.go
+++ b/cmd/registry/main.go
@@ -16,7 +16,7 @@
 	"syscall"
 	"time"
 
-	"starlingusher/internal/registry"
+	"harrierramp/internal/registry"
 )
 
 const (
--- a/cmd/registry/main_test.go
+++ b/cmd/registry/main_test.go
@@ -287,8 +287,8 @@
 // Three real nodes deliver while the list service is killed, started again and promoted, its old primary returns,
 // and all of it is down while a node starts: nothing taken on is lost, and nothing goes to a withdrawn endpoint.
 func TestNodesDeliverWhileTheListServiceFails(t *testing.T) {
-	coralyard := filepath.Join(t.TempDir(), "coralyard")
-	if out, err := exec.Command("go", "build", "-o", coralyard, "../coralyard").CombinedOutput(); err != nil {
+	program := filepath.Join(t.TempDir(), "harrierramp")
+	if out, err := exec.Command("go", "build", "-o", program, "../harrierramp").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	addrs := freeAddrs(t, 7)
@@ -320,7 +320,7 @@
 	defer senders.Wait()
 	for i, addr := range clients {
 		name := fmt.Sprintf("n%d", i)
-		c := &child{t: t, path: coralyard, env: []string{
+		c := &child{t: t, path: program, env: []string{
 			"ROUTER_CONFIG=" + nodeConfig(t, addr, servers), "ROUTER_STATE=" + t.TempDir(), "ROUTER_CONSOLE=",
 		}}
 		nodes = append(nodes, c)
--- a/cmd/drill/main.go
+++ b/cmd/wirehost/main.go
@@ -1,4 +1,4 @@
-// Command drill hosts instances of the decision module on the simulator's wire: batches of events come on
+// Command wirehost hosts instances of the decision module on the simulator's wire: batches of events come on
 // standard input, one reply a batch goes to standard output. Instances share nothing.
 package main
 
@@ -11,13 +11,13 @@
 	"strconv"
 	"time"
 
-	"starlingusher/choice"
-	"starlingusher/internal/wire"
+	"harrierramp/choice"
+	"harrierramp/internal/wire"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "drill:", err)
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/drill/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 const born = `{"event_type":"Turn","simTime":1000}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 // net/http's Transport is not used for calls: it takes a request with an Idempotency-Key for replayable and
@@ -137,7 +137,7 @@
 	req.Header = http.Header{
 		"X-Trace-Id":   {c.id},
 		"X-Expires-In": {strconv.FormatInt(max(time.Until(c.notPast).Milliseconds(), 1), 10) + "m"},
-		"User-Agent":   {"coralyard"},
+		"User-Agent":   {"harrierramp"},
 	}
 	if c.key != "" {
 		req.Header["Idempotency-Key"] = []string{c.key}
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 const patience = 30 * time.Second // for what must happen; nothing is asserted of how fast
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"starlingusher/internal/wire"
+	"harrierramp/internal/wire"
 )
 
 // The reader below is our own: redcon v1.6.4 indexes out of its buffer on a bulk length near the largest
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"starlingusher/internal/wire"
+	"harrierramp/internal/wire"
 )
 
 var testNames = wire.Names{Classes: []string{"notice"}, Tenants: []string{"acme", "globex"}}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,8 +8,8 @@
 	"fmt"
 	"os"
 
-	"starlingusher/choice"
-	"starlingusher/internal/wire"
+	"harrierramp/choice"
+	"harrierramp/internal/wire"
 )
 
 // Config is what a delivery node is told at its start.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -12,9 +12,9 @@
 	"sync/atomic"
 	"time"
 
-	"starlingusher/choice"
-	"starlingusher/internal/listwatch"
-	"starlingusher/internal/wire"
+	"harrierramp/choice"
+	"harrierramp/internal/listwatch"
+	"harrierramp/internal/wire"
 )
 
 const (
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 // busiestSecond is the most asks within a second that a fleet makes whose every ask fails, all from the same moment on.
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 // fakeOperators answers the door in a test's place.
--- a/internal/node/fellows.go
+++ b/internal/node/fellows.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"starlingusher/choice"
-	"starlingusher/internal/membership"
+	"harrierramp/choice"
+	"harrierramp/internal/membership"
 )
 
 // Membership is the section of the configuration by which nodes tell each other who is there.
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"starlingusher/internal/membership"
+	"harrierramp/internal/membership"
 )
 
 // figures are what the operators read. Counters run from the start of the process, each counted once, where its
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 // handOver gives the node to a successor, between two steps of the loop. It tells whether that owns it now; if not,
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 const (
--- a/internal/node/listservice_test.go
+++ b/internal/node/listservice_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 func TestBadListServicesAreRefused(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 const (
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"starlingusher/choice"
-	"starlingusher/internal/membership"
+	"harrierramp/choice"
+	"harrierramp/internal/membership"
 )
 
 const (
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 // peerSockets are two nodes that know each other's addresses, and one that nobody knows.
--- a/internal/registry/peers.go
+++ b/internal/registry/peers.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"starlingusher/internal/listwatch"
+	"harrierramp/internal/listwatch"
 )
 
 const (
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 type conf struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 // Line is any line of a batch; Type says which fields count.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"starlingusher/choice"
+	"harrierramp/choice"
 )
 
 const ms = time.Millisecond
