--- a/cmd/harrierramp/main.go
+++ b/cmd/harrierramp/main.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"syscall"
 
+	"harrierramp/internal/ingress"
 	"harrierramp/internal/node"
 )
 
@@ -78,7 +79,7 @@
 		if err != nil || number < 3 {
 			number = 3 // the only one that is ever passed
 		}
-		return node.PassedListener(number)
+		return ingress.PassedListener(number)
 	}
 	return net.Listen("tcp", addr)
 }
--- a/internal/node/door.go
+++ b/internal/admin/door.go
@@ -1,4 +1,6 @@
-package node
+// Package admin is the operators' door of a node: HTTP/1.1, one call a connection, few places, a bounded wait. It
+// decides nothing; what operators ask goes to the node, which it knows as Operators.
+package admin
 
 import (
 	"context"
@@ -14,27 +16,28 @@
 const (
 	// Callers wait 1 s for an answer, and some connect and finish no call. Few places, of which the longest
 	// unfinished gives way, keep them from shutting out the others and from the descriptors.
-	doorPlaces  = 8
+	DoorPlaces  = 8
 	doorTimeout = 2 * time.Second        // for a whole call
+	doorGrace   = 500 * time.Millisecond // for calls under way when the door closes
 	orderWait   = 900 * time.Millisecond // for a change to hold; past it the caller is told no
 )
 
 // Why an order gets a no.
 var (
-	errUnknownEndpoint = errors.New("no such endpoint")
-	errNotServing      = errors.New("this process does not serve now")
-	errNoMembership    = errors.New("membership is off")
-	errNoPeers         = errors.New("the socket to the other nodes could not be opened")
+	ErrUnknownEndpoint = errors.New("no such endpoint")
+	ErrNotServing      = errors.New("this process does not serve now")
+	ErrNoMembership    = errors.New("membership is off")
+	ErrNoPeers         = errors.New("the socket to the other nodes could not be opened")
 )
 
-// operators is what the door needs of the node.
-type operators interface {
-	ready() bool
-	stats() []byte
-	fellowship(ctx context.Context) (*view, error)
-	disable(ctx context.Context, endpoint string) error
-	enable(ctx context.Context, endpoint string) error
-	drain(ctx context.Context, on bool) error
+// Operators is what the door needs of the node.
+type Operators interface {
+	Ready() bool
+	Stats() []byte
+	Members(ctx context.Context) (*View, error)
+	Disable(ctx context.Context, endpoint string) error
+	Enable(ctx context.Context, endpoint string) error
+	Drain(ctx context.Context, on bool) error
 }
 
 // door answers the operators.
@@ -44,7 +47,8 @@
 	log *slog.Logger
 }
 
-func newDoor(ln net.Listener, n operators, log *slog.Logger) *door {
+// NewDoor answers operators on ln, in the name of n, once Serve runs.
+func NewDoor(ln net.Listener, n Operators, log *slog.Logger) *door {
 	d := &door{ln: &doorListener{Listener: ln, open: map[*doorConn]struct{}{}}, log: log}
 	order := func(do func(ctx context.Context, r *http.Request) error) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
@@ -53,7 +57,7 @@
 			switch err := do(ctx, r); {
 			case err == nil:
 				w.WriteHeader(http.StatusNoContent)
-			case errors.Is(err, errUnknownEndpoint):
+			case errors.Is(err, ErrUnknownEndpoint):
 				http.Error(w, err.Error(), http.StatusNotFound)
 			default:
 				http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -71,28 +75,28 @@
 		}
 	}
 	drain := func(on bool) http.HandlerFunc {
-		return order(func(ctx context.Context, _ *http.Request) error { return n.drain(ctx, on) })
+		return order(func(ctx context.Context, _ *http.Request) error { return n.Drain(ctx, on) })
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ops/readiness", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.ready() {
-			http.Error(w, errNotServing.Error(), http.StatusServiceUnavailable)
+		if !n.Ready() {
+			http.Error(w, ErrNotServing.Error(), http.StatusServiceUnavailable)
 			return
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		if _, err := w.Write(n.stats()); err != nil {
+		if _, err := w.Write(n.Stats()); err != nil {
 			log.Debug("figures not taken", "err", err)
 		}
 	})
 	mux.HandleFunc("GET /ops/members", func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), orderWait)
 		defer cancel()
-		v, err := n.fellowship(ctx)
+		v, err := n.Members(ctx)
 		switch {
-		case errors.Is(err, errNoMembership):
+		case errors.Is(err, ErrNoMembership):
 			http.Error(w, err.Error(), http.StatusNotFound)
 			return
 		case err != nil:
@@ -104,8 +108,8 @@
 			log.Debug("members not taken", "err", err)
 		}
 	})
-	mux.HandleFunc("PUT /ops/endpoints/down", endpoint(n.disable))
-	mux.HandleFunc("PUT /ops/endpoints/up", endpoint(n.enable))
+	mux.HandleFunc("PUT /ops/endpoints/down", endpoint(n.Disable))
+	mux.HandleFunc("PUT /ops/endpoints/up", endpoint(n.Enable))
 	mux.HandleFunc("PUT /ops/drain/start", drain(true))
 	mux.HandleFunc("PUT /ops/drain/stop", drain(false))
 	d.srv = http.Server{
@@ -116,16 +120,16 @@
 	return d
 }
 
-// serve answers until close.
-func (d *door) serve() {
+// Serve answers until close.
+func (d *door) Serve() {
 	if err := d.srv.Serve(d.ln); !errors.Is(err, http.ErrServerClosed) {
 		d.log.Error("the operators' door is shut", "err", err)
 	}
 }
 
-// close lets calls under way have their answers, for a moment.
-func (d *door) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeGrace)
+// Close lets calls under way have their answers, for a moment.
+func (d *door) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), doorGrace)
 	defer cancel()
 	if err := d.srv.Shutdown(ctx); err != nil {
 		d.log.Debug("operators' calls cut off", "err", errors.Join(err, d.srv.Close()))
@@ -153,7 +157,7 @@
 	c := &doorConn{Conn: nc, ln: l, since: time.Now()}
 	l.mu.Lock()
 	var oldest *doorConn
-	if len(l.open) >= doorPlaces {
+	if len(l.open) >= DoorPlaces {
 		for o := range l.open {
 			if oldest == nil || o.since.Before(oldest.since) {
 				oldest = o
@@ -174,66 +178,3 @@
 	c.ln.mu.Unlock()
 	return c.Conn.Close()
 }
-
-// The node as the door sees it; all of these are called from any goroutine.
-
-func (n *Node) ready() bool { return n.serving.Load() }
-
-func (n *Node) stats() []byte { return n.figures.text() }
-
-// fellowship asks the loop who is there.
-func (n *Node) fellowship(ctx context.Context) (*view, error) {
-	if n.cfg.Membership == nil {
-		return nil, errNoMembership
-	}
-	if !n.serving.Load() {
-		return nil, errNotServing
-	}
-	ask := viewAsk{make(chan *view, 1)}
-	n.tell(ctx, ask)
-	select {
-	case v := <-ask.reply:
-		if v == nil {
-			return nil, errNoPeers
-		}
-		return v, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (n *Node) disable(ctx context.Context, endpoint string) error {
-	return n.tellOrder(ctx, order{endpoint: endpoint, on: true})
-}
-
-func (n *Node) enable(ctx context.Context, endpoint string) error {
-	return n.tellOrder(ctx, order{endpoint: endpoint})
-}
-
-func (n *Node) drain(ctx context.Context, on bool) error { return n.tellOrder(ctx, order{on: on}) }
-
-// tellOrder hands an order to the loop and waits until it holds.
-func (n *Node) tellOrder(ctx context.Context, o order) error {
-	if !n.serving.Load() && !n.passing.Load() {
-		return errNotServing
-	}
-	o.done = make(chan error, 1)
-	n.tell(ctx, o)
-	select {
-	case err := <-o.done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// ServeOperators answers operators on ln until the function that it returns is called.
-func (n *Node) ServeOperators(ln net.Listener) (stop func()) {
-	d := newDoor(ln, n, n.log)
-	var serving sync.WaitGroup
-	serving.Go(d.serve)
-	return func() {
-		d.close()
-		serving.Wait()
-	}
-}
--- /dev/null
+++ b/internal/atomicfile/atomicfile.go
@@ -0,0 +1,16 @@
+// Package atomicfile replaces files as a whole.
+package atomicfile
+
+import (
+	"errors"
+	"os"
+)
+
+// Replace puts a file in the place of another: a kill leaves the old one or the new one.
+func Replace(path string, raw []byte) error {
+	fresh := path + ".new"
+	if err := os.WriteFile(fresh, raw, 0o600); err != nil {
+		return errors.Join(err, os.Remove(fresh))
+	}
+	return os.Rename(fresh, path)
+}
--- a/internal/node/calls.go
+++ b/internal/egress/pool.go
@@ -1,4 +1,6 @@
-package node
+// Package egress makes the calls to endpoints: one request, one connection, one outcome each. It sends nothing twice and
+// decides nothing.
+package egress
 
 import (
 	"bufio"
@@ -26,33 +28,33 @@
 
 const (
 	maxAnswerHead = 32 << 10
-	maxAnswerBody = maxBody
+	maxAnswerBody = 64 << 10
 	idleMargin    = 400 * time.Millisecond // an endpoint's idle clock may be ahead of ours by an answer's way
 	loadHeader    = "Endpoint-Load-Metrics"
 	maxContinues  = 8 // 1xx answers ahead of the real one
 	longestWait   = 10 * time.Minute
 )
 
-// call is one attempt to be made.
-type call struct {
-	id, key  string
-	body     []byte
-	endpoint *endpoint
-	notPast  time.Time
+// Call is one attempt to be made.
+type Call struct {
+	ID, Key  string
+	Body     []byte
+	Endpoint *Endpoint
+	NotPast  time.Time
 }
 
-// result is how it ended.
-type result struct {
-	outcome choice.Outcome
-	wait    time.Duration
-	noSlot  bool
-	closed  bool
-	reused  bool // it went over a connection that had stood idle
-	report  choice.Report
+// Result is how it ended.
+type Result struct {
+	Outcome choice.Outcome
+	Wait    time.Duration
+	NoSlot  bool
+	Closed  bool
+	Reused  bool // it went over a connection that had stood idle
+	Report  choice.Report
 }
 
-// pool makes calls, on connections that it keeps between them.
-type pool struct {
+// Pool makes calls, on connections that it keeps between them.
+type Pool struct {
 	dialTimeout, idleFor time.Duration
 	maxIdle              int
 	places               chan struct{}   // one taken for each connection
@@ -75,72 +77,72 @@
 	ended   func()     // gives back its place; may be called again
 }
 
-// newPool makes a pool that holds most connections altogether: the descriptors beyond are others'.
-func newPool(dialTimeout, connIdle time.Duration, maxIdle, most int, tries *atomic.Int64) *pool {
+// NewPool makes a pool that holds most connections altogether: the descriptors beyond are others'.
+func NewPool(dialTimeout, connIdle time.Duration, maxIdle, most int, tries *atomic.Int64) *Pool {
 	if dialTimeout <= 0 {
 		dialTimeout = time.Second
 	}
 	sealed, seal := context.WithCancel(context.Background())
-	return &pool{
+	return &Pool{
 		sealed: sealed, seal: seal, dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
 		places: make(chan struct{}, most), tries: tries, idle: map[string][]*conn{},
 	}
 }
 
-// do makes one call. It returns when its slot is free again: at the answer, or with the connection closed.
-func (p *pool) do(ctx context.Context, c call) result {
-	ctx, cancel := context.WithDeadline(ctx, c.notPast)
+// Do makes one call. It returns when its slot is free again: at the answer, or with the connection closed.
+func (p *Pool) Do(ctx context.Context, c Call) Result {
+	ctx, cancel := context.WithDeadline(ctx, c.NotPast)
 	defer cancel()
 	request, err := encodeRequest(c)
 	if err != nil {
-		return result{outcome: choice.Stale}
+		return Result{Outcome: choice.Stale}
 	}
-	if c.endpoint.closedTo(time.Now()) || ctx.Err() != nil {
-		return result{outcome: choice.Stale}
+	if c.Endpoint.closedTo(time.Now()) || ctx.Err() != nil {
+		return Result{Outcome: choice.Stale}
 	}
-	k := p.take(c.endpoint)
+	k := p.take(c.Endpoint)
 	reused := k != nil
 	if !reused {
 		dialing, cancel := context.WithCancel(ctx)
 		defer context.AfterFunc(p.sealed, cancel)()
 		defer cancel()
 		if !p.place(dialing) {
-			return result{outcome: choice.Stale}
+			return Result{Outcome: choice.Stale}
 		}
-		if k, err = p.dial(dialing, c.endpoint.addr); err != nil && p.sealed.Err() != nil {
-			return result{outcome: choice.Stale}
+		if k, err = p.dial(dialing, c.Endpoint.Addr); err != nil && p.sealed.Err() != nil {
+			return Result{Outcome: choice.Stale}
 		} else if err != nil {
-			return result{outcome: choice.NoRoute}
+			return Result{Outcome: choice.NoRoute}
 		}
 	}
 	// A dial takes up to a second; a wait told or a drain heard of meanwhile forbids the first byte.
-	if c.endpoint.closedTo(time.Now()) || p.sealed.Err() != nil {
-		p.give(c.endpoint, k)
-		return result{outcome: choice.Stale}
+	if c.Endpoint.closedTo(time.Now()) || p.sealed.Err() != nil {
+		p.give(c.Endpoint, k)
+		return Result{Outcome: choice.Stale}
 	}
 	stop := context.AfterFunc(ctx, func() { k.Close() })
 	res, reuse := k.exchange(ctx, request, p.tries)
 	if stop() && reuse {
-		p.give(c.endpoint, k)
+		p.give(c.Endpoint, k)
 	} else {
 		k.Close()
 	}
-	res.reused = reused
+	res.Reused = reused
 	return res
 }
 
-func encodeRequest(c call) ([]byte, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+c.endpoint.addr+"/v1/messages", bytes.NewReader(c.body))
+func encodeRequest(c Call) ([]byte, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.Endpoint.Addr+"/v1/messages", bytes.NewReader(c.Body))
 	if err != nil {
 		return nil, err
 	}
 	req.Header = http.Header{
-		"X-Trace-Id":   {c.id},
-		"X-Expires-In": {strconv.FormatInt(max(time.Until(c.notPast).Milliseconds(), 1), 10) + "m"},
+		"X-Trace-Id":   {c.ID},
+		"X-Expires-In": {strconv.FormatInt(max(time.Until(c.NotPast).Milliseconds(), 1), 10) + "m"},
 		"User-Agent":   {"harrierramp"},
 	}
-	if c.key != "" {
-		req.Header["Idempotency-Key"] = []string{c.key}
+	if c.Key != "" {
+		req.Header["Idempotency-Key"] = []string{c.Key}
 	}
 	var b bytes.Buffer
 	if err := req.Write(&b); err != nil {
@@ -150,7 +152,7 @@
 }
 
 // place takes a place for a new connection: a free one, that of one kept idle, or the next that a call gives back.
-func (p *pool) place(ctx context.Context) bool {
+func (p *Pool) place(ctx context.Context) bool {
 	select {
 	case p.places <- struct{}{}:
 		return true
@@ -181,7 +183,7 @@
 }
 
 // dial opens a connection in a place that was taken for it.
-func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	d := net.Dialer{Timeout: p.dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	ended := sync.OnceFunc(func() { <-p.places })
@@ -195,9 +197,9 @@
 
 // exchange writes the request, which counts among the tries once it is written whole, and reads the answer; reuse
 // tells that the connection is good for another call.
-func (k *conn) exchange(ctx context.Context, request []byte, tries *atomic.Int64) (res result, reuse bool) {
+func (k *conn) exchange(ctx context.Context, request []byte, tries *atomic.Int64) (res Result, reuse bool) {
 	if n, err := k.Write(request); err != nil && n < len(request) {
-		return result{outcome: choice.NoRoute}, false // without its last byte the endpoint has not begun it
+		return Result{Outcome: choice.NoRoute}, false // without its last byte the endpoint has not begun it
 	}
 	tries.Add(1)
 	res, reuse, err := k.answer()
@@ -206,16 +208,16 @@
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return result{outcome: choice.TooSlow}, false
+		return Result{Outcome: choice.TooSlow}, false
 	case ctx.Err() != nil:
-		return result{outcome: choice.Undone}, false
+		return Result{Outcome: choice.Undone}, false
 	}
-	return result{outcome: choice.Cut}, false
+	return Result{Outcome: choice.Cut}, false
 }
 
 // answer reads one answer and tells whether the connection may carry another call. One that can't be read to its
 // end proves nothing, whatever it began to say, but for a first line with 200: that line holds.
-func (k *conn) answer() (result, bool, error) {
+func (k *conn) answer() (Result, bool, error) {
 	for range maxContinues {
 		k.limit.N = maxAnswerHead + maxAnswerBody
 		delivered := k.saysDelivered()
@@ -235,11 +237,11 @@
 		case err == nil: // more than the answer in the buffer belongs to no call
 			return outcome(resp), !resp.Close && k.br.Buffered() == 0, nil
 		case delivered:
-			return result{outcome: choice.Pass, closed: true}, false, nil
+			return Result{Outcome: choice.Pass, Closed: true}, false, nil
 		}
-		return result{}, false, fmt.Errorf("answer: %w", err)
+		return Result{}, false, fmt.Errorf("answer: %w", err)
 	}
-	return result{}, false, errors.New("answer: only 1xx")
+	return Result{}, false, errors.New("answer: only 1xx")
 }
 
 // saysDelivered looks ahead for a first line with 200, which may be the last that comes of the answer. It waits
@@ -257,27 +259,27 @@
 }
 
 // outcome reads the protocol's table of answers.
-func outcome(resp *http.Response) result {
-	res := result{report: loadReport(resp.Header.Get(loadHeader))}
+func outcome(resp *http.Response) Result {
+	res := Result{Report: loadReport(resp.Header.Get(loadHeader))}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		res.outcome, res.closed = choice.Pass, true
+		res.Outcome, res.Closed = choice.Pass, true
 	case http.StatusTooManyRequests:
-		res.outcome = choice.NoRoom
+		res.Outcome = choice.NoRoom
 		if sec, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && sec > 0 {
-			res.wait = time.Duration(min(sec, longestWait.Seconds()) * float64(time.Second))
+			res.Wait = time.Duration(min(sec, longestWait.Seconds()) * float64(time.Second))
 		}
 	case http.StatusServiceUnavailable:
-		res.outcome = choice.NoRoom
+		res.Outcome = choice.NoRoom
 		if resp.Header.Get("X-Line-Busy") == "1" {
-			res.outcome, res.noSlot = choice.Stale, true
+			res.Outcome, res.NoSlot = choice.Stale, true
 		}
 	case http.StatusGatewayTimeout:
-		res.outcome = choice.Stale
+		res.Outcome = choice.Stale
 	case http.StatusGone:
-		res.outcome, res.closed = choice.Stale, true
+		res.Outcome, res.Closed = choice.Stale, true
 	default: // 500, and what the protocol does not know: it may have run
-		res.outcome = choice.Fault
+		res.Outcome = choice.Fault
 	}
 	return res
 }
@@ -302,23 +304,23 @@
 }
 
 // take returns a kept connection that is still good, the one used last, or nil.
-func (p *pool) take(e *endpoint) *conn {
+func (p *Pool) take(e *Endpoint) *conn {
 	for {
 		p.mu.Lock()
-		kept := p.idle[e.id]
+		kept := p.idle[e.ID]
 		if len(kept) == 0 {
 			p.mu.Unlock()
 			return nil
 		}
 		k := kept[len(kept)-1]
-		p.drop(e.id, len(kept)-1)
+		p.drop(e.ID, len(kept)-1)
 		p.mu.Unlock()
 		// The watch is called back from its read. Had the endpoint closed or said anything, it would not
 		// end by this time-out, and a request would be a sure reset.
 		k.SetReadDeadline(time.Unix(1, 0))
 		err := <-k.watched
 		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && k.addr == e.addr && k.SetReadDeadline(time.Time{}) == nil {
+		if errors.As(err, &timeout) && timeout.Timeout() && k.addr == e.Addr && k.SetReadDeadline(time.Time{}) == nil {
 			return k
 		}
 		k.Close()
@@ -326,7 +328,7 @@
 }
 
 // drop takes the i-th kept connection of an endpoint out; the lock is held.
-func (p *pool) drop(id string, i int) {
+func (p *Pool) drop(id string, i int) {
 	p.size--
 	if p.idle[id] = slices.Delete(p.idle[id], i, i+1); len(p.idle[id]) == 0 {
 		delete(p.idle, id)
@@ -335,7 +337,7 @@
 
 // give keeps a connection for the next call, and watches it: it is closed when the endpoint closes it, sends
 // something unasked for, or when it has stood idle for nearly as long as the endpoint allows.
-func (p *pool) give(e *endpoint, k *conn) {
+func (p *Pool) give(e *Endpoint, k *conn) {
 	k.watched = make(chan error, 1)
 	k.limit.N = 1
 	p.mu.Lock()
@@ -344,14 +346,14 @@
 		k.Close()
 		return
 	}
-	p.idle[e.id] = append(p.idle[e.id], k)
+	p.idle[e.ID] = append(p.idle[e.ID], k)
 	p.size++
 	p.mu.Unlock()
 	go func() { // ends with the connection, or when take calls it back
 		_, err := k.br.Peek(1)
 		p.mu.Lock()
-		if i := slices.Index(p.idle[e.id], k); i >= 0 {
-			p.drop(e.id, i)
+		if i := slices.Index(p.idle[e.ID], k); i >= 0 {
+			p.drop(e.ID, i)
 			k.Close()
 		}
 		p.mu.Unlock()
@@ -359,8 +361,8 @@
 	}()
 }
 
-// hangUp closes the kept connections of an endpoint.
-func (p *pool) hangUp(id string) {
+// HangUp closes the kept connections of an endpoint.
+func (p *Pool) HangUp(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, k := range p.idle[id] {
@@ -370,8 +372,8 @@
 	delete(p.idle, id)
 }
 
-// close closes all kept connections, and keeps none from now on.
-func (p *pool) close() {
+// Close closes all kept connections, and keeps none from now on.
+func (p *Pool) Close() {
 	p.seal()
 	p.mu.Lock()
 	ids := make([]string, 0, len(p.idle))
@@ -380,6 +382,6 @@
 	}
 	p.mu.Unlock()
 	for _, id := range ids {
-		p.hangUp(id)
+		p.HangUp(id)
 	}
 }
--- /dev/null
+++ b/internal/egress/pool_test.go
@@ -0,0 +1,280 @@
+package egress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"harrierramp/choice"
+	"harrierramp/internal/testkit"
+)
+
+func endpointAt(addr string) *Endpoint {
+	return &Endpoint{ID: "e", Addr: addr, Wait: new(atomic.Int64)}
+}
+
+func testPool() *Pool { return NewPool(2*time.Second, time.Minute, 16, 64, new(atomic.Int64)) }
+
+func testCall(e *Endpoint) Call {
+	return Call{ID: "9b1f03aa5c7e2d41", Key: "5c0f", Body: []byte("body\x00"), Endpoint: e, NotPast: time.Now().Add(testkit.Patience)}
+}
+
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name, says string
+		want       Result
+	}{
+		{"delivered", testkit.Delivered, Result{Outcome: choice.Pass, Closed: true}},
+		{"delivered with a report", "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: x0=0.4,x1=25\r\nContent-Length: 0\r\n\r\n",
+			Result{Outcome: choice.Pass, Closed: true, Report: choice.Report{Left: 0.4, Limit: 25, HasLeft: true, HasLimit: true}}},
+		{"a report that can't be read", "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: x0=often,,x1=NaN\r\nContent-Length: 0\r\n\r\n",
+			Result{Outcome: choice.Pass, Closed: true}},
+		{"after a 1xx", "HTTP/1.1 103 Early Hints\r\n\r\n" + testkit.Delivered, Result{Outcome: choice.Pass, Closed: true}},
+		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Fault}},
+		{"told to wait", "HTTP/1.1 429 No\r\nRetry-After: 0.35\r\nContent-Length: 0\r\n\r\n",
+			Result{Outcome: choice.NoRoom, Wait: 350 * time.Millisecond}},
+		{"turned away", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.NoRoom}},
+		{"no slot", "HTTP/1.1 503 No\r\nX-Line-Busy: 1\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Stale, NoSlot: true}},
+		{"all attempts used", "HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Stale}},
+		{"over", "HTTP/1.1 410 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Stale, Closed: true}},
+		{"unknown status", "HTTP/1.1 418 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Fault}},
+		{"no HTTP", "what?\r\n\r\n", Result{Outcome: choice.Cut}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := testkit.NewPartner(t, testkit.Says(c.says))
+			if got := testPool().Do(t.Context(), testCall(endpointAt(p.Addr()))); got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestOutcomesOfConnections(t *testing.T) {
+	t.Run("refused", func(t *testing.T) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ln.Close()
+		if got := testPool().Do(t.Context(), testCall(endpointAt(ln.Addr().String()))); got.Outcome != choice.NoRoute {
+			t.Errorf("got %+v", got)
+		}
+	})
+	t.Run("broken before the last byte", func(t *testing.T) {
+		near, far := net.Pipe() // takes no byte that is not read
+		go func() {
+			io.ReadFull(far, make([]byte, 10))
+			far.Close()
+		}()
+		k, tries := &conn{Conn: near}, new(atomic.Int64)
+		if got, reuse := k.exchange(t.Context(), []byte(strings.Repeat("x", 100)), tries); got.Outcome != choice.NoRoute || reuse || tries.Load() != 0 {
+			t.Errorf("got %+v, %v, %d tries", got, reuse, tries.Load())
+		}
+	})
+	t.Run("ended after the last byte", func(t *testing.T) {
+		p := testkit.NewPartner(t, func(net.Conn, *http.Request) bool { return false })
+		if got := testPool().Do(t.Context(), testCall(endpointAt(p.Addr()))); got.Outcome != choice.Cut {
+			t.Errorf("got %+v", got)
+		}
+	})
+	t.Run("timed out", func(t *testing.T) {
+		closed := make(chan bool, 1)
+		p := testkit.NewPartner(t, func(nc net.Conn, _ *http.Request) bool {
+			_, err := nc.Read(make([]byte, 1))
+			closed <- err != nil // the call is given up by closing its connection
+			return false
+		})
+		c := testCall(endpointAt(p.Addr()))
+		c.NotPast = time.Now().Add(100 * time.Millisecond)
+		if got := testPool().Do(t.Context(), c); got.Outcome != choice.TooSlow || !<-closed {
+			t.Errorf("got %+v", got)
+		}
+	})
+	t.Run("called off", func(t *testing.T) {
+		p := testkit.NewPartner(t, testkit.Silent)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			<-p.Came
+			cancel()
+		}()
+		if got := testPool().Do(ctx, testCall(endpointAt(p.Addr()))); got.Outcome != choice.Undone {
+			t.Errorf("got %+v", got)
+		}
+	})
+	t.Run("over before it began", func(t *testing.T) {
+		p := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
+		c := testCall(endpointAt(p.Addr()))
+		c.NotPast = time.Now().Add(-time.Second)
+		if got := testPool().Do(t.Context(), c); got.Outcome != choice.Stale {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
+
+func TestWhatGoesOut(t *testing.T) {
+	p := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
+	testPool().Do(t.Context(), testCall(endpointAt(p.Addr())))
+	req := p.Next(t)
+	left, err := strconv.Atoi(strings.TrimSuffix(req.Header.Get("X-Expires-In"), "m"))
+	if req.Method != "POST" || req.URL.Path != "/v1/messages" || req.Header.Get("X-Trace-Id") != "9b1f03aa5c7e2d41" ||
+		req.Header.Get("Idempotency-Key") != "5c0f" || req.ContentLength != 5 || err != nil || left < 1 {
+		t.Errorf("got %s %s %v", req.Method, req.URL, req.Header)
+	}
+}
+
+// A library that sends a request again by itself makes a second effect of it.
+func TestBrokenReusedConnectionIsNotSentAgain(t *testing.T) {
+	first := true
+	p := testkit.NewPartner(t, func(nc net.Conn, _ *http.Request) bool {
+		if first {
+			first = false
+			io.WriteString(nc, testkit.Delivered)
+			return true
+		}
+		return false
+	})
+	pool, e := testPool(), endpointAt(p.Addr())
+	if got := pool.Do(t.Context(), testCall(e)); got.Outcome != choice.Pass || got.Reused {
+		t.Fatalf("got %+v", got)
+	}
+	if got := pool.Do(t.Context(), testCall(e)); got.Outcome != choice.Cut || !got.Reused {
+		t.Errorf("got %+v", got)
+	}
+	if calls, conns := p.Counts(); calls != 2 || conns != 1 {
+		t.Errorf("%d calls on %d connections", calls, conns)
+	}
+}
+
+// A first line with 200 holds whatever becomes of the rest; any other answer that breaks off proves nothing,
+// least of all that the call has not run.
+func TestAnswersThatBreakOff(t *testing.T) {
+	for text, want := range map[string]choice.Outcome{
+		"HTTP/1.1 200":                  choice.Pass,
+		"HTTP/1.1 200 O":                choice.Pass,
+		"HTTP/1.1 200 OK\r\nContent-Le": choice.Pass,
+		"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\nd21e":  choice.Pass,
+		"HTTP/1.1 200 OK\r\n\x00\xff\r\n\r\n":                choice.Pass,
+		"HTTP/1.1 20":                                        choice.Cut,
+		"HTTP/1.1 2000 OK\r\n":                               choice.Cut,
+		"HTTP/1.1 503 No\r\nContent-Le":                      choice.Cut,
+		"HTTP/1.1 503 No\r\nContent-Length: 16\r\n\r\nd21e":  choice.Cut,
+		"HTTP/1.1 429 No\r\nRetry-After: 1\r\nTransfer-Enco": choice.Cut,
+		"\x16\x03\x01 200 OK":                                choice.Cut,
+	} {
+		p := testkit.NewPartner(t, func(nc net.Conn, _ *http.Request) bool {
+			io.WriteString(nc, text)
+			return false
+		})
+		pool := testPool()
+		if got := pool.Do(t.Context(), testCall(endpointAt(p.Addr()))); got.Outcome != want || got.Closed != (want == choice.Pass) {
+			t.Errorf("%q: got %+v", text, got)
+		}
+		if pool.size != 0 {
+			t.Errorf("%q: its connection was kept", text)
+		}
+	}
+}
+
+// A request written to a connection that the endpoint has closed is a sure reset.
+func TestServersCloseIsNoticed(t *testing.T) {
+	p := testkit.NewPartner(t, func(nc net.Conn, _ *http.Request) bool {
+		io.WriteString(nc, testkit.Delivered)
+		return false
+	})
+	pool, e := testPool(), endpointAt(p.Addr())
+	for range 3 {
+		if got := pool.Do(t.Context(), testCall(e)); got.Outcome != choice.Pass {
+			t.Fatalf("got %+v", got)
+		}
+		testkit.Eventually(t, "the closed connection is dropped", func() bool {
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			return pool.size == 0
+		})
+	}
+}
+
+func TestIdleConnectionIsDroppedInTime(t *testing.T) {
+	p := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
+	pool, e := NewPool(time.Second, 20*time.Millisecond, 16, 64, new(atomic.Int64)), endpointAt(p.Addr())
+	pool.Do(t.Context(), testCall(e))
+	testkit.Eventually(t, "the idle connection is dropped", func() bool {
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		return pool.size == 0
+	})
+}
+
+func TestHangUp(t *testing.T) {
+	p := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
+	pool, e := testPool(), endpointAt(p.Addr())
+	pool.Do(t.Context(), testCall(e))
+	pool.HangUp(e.ID)
+	pool.Do(t.Context(), testCall(e))
+	if calls, conns := p.Counts(); calls != 2 || conns != 2 {
+		t.Errorf("%d calls on %d connections", calls, conns)
+	}
+	pool.Close()
+	if pool.size != 0 {
+		t.Error("connections are kept after close")
+	}
+}
+
+// Bytes that belong to no call would be taken for the next call's answer.
+func TestMoreThanTheAnswerIsNotReused(t *testing.T) {
+	p := testkit.NewPartner(t, testkit.Says(testkit.Delivered+"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"))
+	pool, e := testPool(), endpointAt(p.Addr())
+	for range 3 {
+		if got := pool.Do(t.Context(), testCall(e)); got.Outcome != choice.Pass {
+			t.Errorf("got %+v", got)
+		}
+	}
+}
+
+// Between the decision and the first byte lies a dial; a drain or a wait told meanwhile must hold the call.
+func TestNothingIsSentToAClosedEndpoint(t *testing.T) {
+	p := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
+	drained, waiting := endpointAt(p.Addr()), endpointAt(p.Addr())
+	drained.Shut.Store(true)
+	waiting.Wait.Store(time.Now().Add(time.Hour).UnixNano())
+	for _, e := range []*Endpoint{drained, waiting} {
+		if got := testPool().Do(t.Context(), testCall(e)); got.Outcome != choice.Stale {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if calls, _ := p.Counts(); calls != 0 {
+		t.Errorf("%d calls", calls)
+	}
+}
+
+// Places for connections run out: a call waits for one, takes that of an idle connection, and is not sent if none
+// comes; it is no failure of the endpoint.
+func TestCallsLeaveDescriptorsToOthers(t *testing.T) {
+	p, q := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), testkit.NewPartner(t, testkit.Silent)
+	pool := NewPool(50*time.Millisecond, time.Minute, 16, 1, new(atomic.Int64))
+	e, f := endpointAt(p.Addr()), &Endpoint{ID: "f", Addr: q.Addr(), Wait: new(atomic.Int64)}
+	if got := pool.Do(t.Context(), testCall(e)); !got.Closed {
+		t.Fatalf("got %+v", got)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { // takes the place of the idle connection
+		defer close(done)
+		pool.Do(ctx, testCall(f))
+	}()
+	q.Next(t)
+	if got := pool.Do(t.Context(), testCall(e)); got.Outcome != choice.Stale {
+		t.Errorf("got %+v", got)
+	}
+	cancel()
+	<-done
+	if got := pool.Do(t.Context(), testCall(e)); !got.Closed {
+		t.Errorf("with the place given back: got %+v", got)
+	}
+}
--- a/internal/node/link.go
+++ b/internal/handover/link.go
@@ -1,4 +1,6 @@
-package node
+// Package handover joins the two processes that are one node during an upgrade: who owns the folder, how the owner is
+// asked for it, and the frames that pass between them. What is handed over is the node's to say.
+package handover
 
 import (
 	"encoding/binary"
@@ -13,6 +15,8 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/ingress"
+	"harrierramp/internal/listwatch"
 )
 
 const (
@@ -20,74 +24,69 @@
 	maxFrame    = 64 << 20
 )
 
-var errLink = errors.New("handover: a frame that can't be read")
+var ErrFrame = errors.New("handover: a frame that can't be read")
 
-// link joins two processes of one node. A frame is its length, four bytes, and JSON, so that versions may differ; a
+// Link joins two processes of one node. A frame is its length, four bytes, and JSON, so that versions may differ; a
 // descriptor goes with its first byte.
-type link struct {
-	c  *net.UnixConn
+type Link struct {
+	C  *net.UnixConn
 	mu sync.Mutex // one frame at a time
 }
 
-// frame holds one of these.
-type frame struct {
+// Frame holds one of these.
+type Frame struct {
 	// To the owner of the lock, from the process that comes, and the answer.
-	Ask   bool         `json:",omitempty"`
-	State *carriedNode `json:",omitempty"` // with the lock
+	Ask   bool   `json:",omitempty"`
+	State *State `json:",omitempty"` // with the lock
 
 	// From the old process to its successor.
-	Client *movedClient `json:",omitempty"` // with its connection
-	Ended  *endedCall   `json:",omitempty"`
-	Order  *linkOrder   `json:",omitempty"`
+	Client *ingress.Moved `json:",omitempty"` // with its connection
+	Ended  *EndedCall     `json:",omitempty"`
+	Order  *LinkOrder     `json:",omitempty"`
 
 	// From the successor.
-	Cancel *callName  `json:",omitempty"`
-	Done   *orderDone `json:",omitempty"`
+	Cancel *CallName  `json:",omitempty"`
+	Done   *OrderDone `json:",omitempty"`
 }
 
 type (
 	// carriedNode is what the node knows beside the journal and the orders.
-	carriedNode struct {
+	State struct {
 		Clock    time.Duration // of the module,
 		At       int64         // at this Unix time in nanoseconds
 		Sender   json.RawMessage
 		Revision int64
-		Members  []member
+		Members  []listwatch.Member
 		Dests    []int
 		Named    []string
-		Out      []callName // attempts that are out at the old process
+		Out      []CallName // attempts that are out at the old process
 	}
-	// movedClient is where a client's connection stands.
-	movedClient struct {
-		Raw         []byte // what has been read of requests without an answer
-		Since, Came int64  // Unix nanoseconds: of its last answer, and of the request's first byte
-	}
-	callName struct {
+	CallName struct {
 		ID string
 		N  int
 	}
-	endedCall struct {
-		callName
+	EndedCall struct {
+		CallName
 		Endpoint               string
 		Outcome                choice.Outcome
 		Wait, Took             time.Duration
 		NoSlot, Closed, Reused bool
 		Report                 choice.Report
 	}
-	linkOrder struct {
+	LinkOrder struct {
 		Number   int
 		Endpoint string
 		On       bool
 	}
-	orderDone struct {
+	OrderDone struct {
 		Number  int
 		Unknown bool   // there is no such endpoint
 		No      string // why not; empty for yes
 	}
 )
 
-// send writes a frame, with a descriptor unless that is negative.
-func (l *link) send(f frame, descriptor int) error {
+// Send writes a frame, with a descriptor unless that is negative.
+func (l *Link) Send(f Frame, descriptor int) error {
 	payload, err := json.Marshal(f)
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
@@ -99,12 +98,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err := l.c.SetWriteDeadline(time.Now().Add(linkTimeout)); err != nil {
+	if err := l.C.SetWriteDeadline(time.Now().Add(linkTimeout)); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	n, _, err := l.c.WriteMsgUnix(b, rights, nil)
+	n, _, err := l.C.WriteMsgUnix(b, rights, nil)
 	if err == nil && n < len(b) {
-		_, err = l.c.Write(b[n:])
+		_, err = l.C.Write(b[n:])
 	}
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
@@ -112,8 +111,8 @@
 	return nil
 }
 
-// receive reads a frame and the descriptor that came with it, if one did.
-func (l *link) receive() (f frame, file *os.File, err error) {
+// Receive reads a frame and the descriptor that came with it, if one did.
+func (l *Link) Receive() (f Frame, file *os.File, err error) {
 	defer func() {
 		if err != nil && file != nil {
 			file.Close()
@@ -123,7 +122,7 @@
 	var head [4]byte
 	rights := make([]byte, syscall.CmsgSpace(4))
 	for got := 0; got < len(head); {
-		n, rn, _, _, err := l.c.ReadMsgUnix(head[got:], rights)
+		n, rn, _, _, err := l.C.ReadMsgUnix(head[got:], rights)
 		if rn > 0 && file == nil {
 			if file, err = passed(rights[:rn]); err != nil {
 				return f, file, err
@@ -136,14 +135,14 @@
 	}
 	size := binary.BigEndian.Uint32(head[:])
 	if size > maxFrame {
-		return f, file, errLink
+		return f, file, ErrFrame
 	}
 	payload := make([]byte, size)
-	if _, err := io.ReadFull(l.c, payload); err != nil {
+	if _, err := io.ReadFull(l.C, payload); err != nil {
 		return f, file, err
 	}
 	if err := json.Unmarshal(payload, &f); err != nil {
-		return f, file, fmt.Errorf("%w: %w", errLink, err)
+		return f, file, fmt.Errorf("%w: %w", ErrFrame, err)
 	}
 	return f, file, nil
 }
@@ -152,13 +151,14 @@
 func passed(rights []byte) (*os.File, error) {
 	messages, err := syscall.ParseSocketControlMessage(rights)
 	if err != nil || len(messages) != 1 {
-		return nil, errLink
+		return nil, ErrFrame
 	}
 	fds, err := syscall.ParseUnixRights(&messages[0])
 	if err != nil || len(fds) != 1 {
-		return nil, errLink
+		return nil, ErrFrame
 	}
 	return os.NewFile(uintptr(fds[0]), "passed"), nil
 }
 
-func (l *link) close() error { return l.c.Close() }
+// Close ends the link; the other process sees its end.
+func (l *Link) Close() error { return l.C.Close() }
--- a/internal/node/clients.go
+++ b/internal/ingress/ingress.go
@@ -1,4 +1,6 @@
-package node
+// Package ingress serves clients that hand messages in by RESP2: bounded connections, bounded requests, an answer or a
+// close in time for each peer. Whether a message is taken on is for who made the Server to say.
+package ingress
 
 import (
 	"bufio"
@@ -14,6 +16,7 @@
 	"sync"
 	"time"
 
+	"harrierramp/internal/backoff"
 	"harrierramp/internal/wire"
 )
 
@@ -41,33 +44,33 @@
 	lingerTimeout  = 300 * time.Millisecond // in which a client may read why it is being hung up on
 )
 
-// request is one message as a client hands it in.
-type request struct {
-	id, key     string
-	class, dest int
-	tenant      int // -1 for none that the settings name
-	life        time.Duration
-	body        []byte
-	came        time.Time
+// Request is one message as a client hands it in.
+type Request struct {
+	ID, Key     string
+	Class, Dest int
+	Tenant      int // -1 for none that the settings name
+	Life        time.Duration
+	Body        []byte
+	Came        time.Time
 }
 
-// answer is what the client is told: taken on, refused, or failed with a reason.
-type answer struct {
-	refused bool
-	after   time.Duration
-	failed  string
-	moved   bool // another process of this node answers
+// Answer is what the client is told: taken on, refused, or failed with a reason.
+type Answer struct {
+	Refused bool
+	After   time.Duration
+	Failed  string
+	Moved   bool // another process of this node answers
 }
 
-func (a answer) line() string {
+func (a Answer) line() string {
 	switch {
-	case a.moved:
+	case a.Moved:
 		return movedLine
-	case a.failed != "":
-		return "-ERR " + a.failed + "\r\n"
-	case a.refused && a.after >= time.Millisecond:
-		return "-BUSY " + strconv.FormatInt(a.after.Milliseconds(), 10) + "\r\n"
-	case a.refused:
+	case a.Failed != "":
+		return "-ERR " + a.Failed + "\r\n"
+	case a.Refused && a.After >= time.Millisecond:
+		return "-BUSY " + strconv.FormatInt(a.After.Milliseconds(), 10) + "\r\n"
+	case a.Refused:
 		return "-BUSY\r\n"
 	}
 	return "+OK\r\n"
@@ -155,13 +158,13 @@
 }
 
 // parseEnqueue reads the words of an ENQUEUE.
-func parseEnqueue(args [][]byte, names wire.Names, came time.Time) (request, error) {
-	q := request{came: came, class: -1, tenant: -1, dest: -1, life: -1}
+func parseEnqueue(args [][]byte, names wire.Names, came time.Time) (Request, error) {
+	q := Request{Came: came, Class: -1, Tenant: -1, Dest: -1, Life: -1}
 	if len(args) != 5 {
 		return q, errors.New("wrong number of arguments for 'enqueue' command")
 	}
-	q.id, q.body = string(args[2]), args[4]
-	if !isToken(q.id) {
+	q.ID, q.Body = string(args[2]), args[4]
+	if !isToken(q.ID) {
 		return q, errors.New("the id can't be used")
 	}
 	if len(args[3]) > maxWord {
@@ -171,30 +174,30 @@
 		name, value, _ := strings.Cut(field, "=")
 		switch name {
 		case "c":
-			if q.class = slices.Index(names.Classes, value); q.class < 0 {
+			if q.Class = slices.Index(names.Classes, value); q.Class < 0 {
 				return q, errors.New("unknown class")
 			}
 		case "t":
-			q.tenant = slices.Index(names.Tenants, value)
+			q.Tenant = slices.Index(names.Tenants, value)
 		case "d":
 			ms, err := strconv.ParseFloat(value, 64)
 			if err != nil || !(ms >= 0 && ms <= float64(maxLife.Milliseconds())) {
 				return q, errors.New("d is no time in milliseconds")
 			}
-			q.life = time.Duration(ms * float64(time.Millisecond))
+			q.Life = time.Duration(ms * float64(time.Millisecond))
 		case "dest":
 			n, err := strconv.Atoi(value)
 			if err != nil || n < 0 {
 				return q, errors.New("dest is no number")
 			}
-			q.dest = n
+			q.Dest = n
 		case "k":
-			if q.key = value; !isToken(value) {
+			if q.Key = value; !isToken(value) {
 				return q, errors.New("the key can't be used")
 			}
 		}
 	}
-	if q.class < 0 || q.life < 0 || q.dest < 0 {
+	if q.Class < 0 || q.Life < 0 || q.Dest < 0 {
 		return q, errors.New("c, d and dest are needed")
 	}
 	return q, nil
@@ -210,22 +213,22 @@
 	return len(s) > 0 && len(s) <= 256
 }
 
-// clients serves the node's clients.
-type clients struct {
+// Server serves the node's clients.
+type Server struct {
 	ln     net.Listener
 	room   chan struct{} // a place for each connection
 	stop   chan struct{}
 	served chan struct{} // closed when nothing more is accepted
 	names  wire.Names
-	hand   func(request) answer
+	hand   func(Request) Answer
 
 	mu     sync.Mutex
 	open   map[net.Conn]*peer
 	closed bool
-	paused chan struct{}                     // closed when connections are accepted again; nil while they are
-	moveTo func(net.Conn, movedClient) error // passes a connection to the process that owns the node; nil in that
-	drains *time.Timer                       // set while the node is drained: when it goes off, connections end between requests
-	sends  bool                              // it has gone off
+	paused chan struct{}               // closed when connections are accepted again; nil while they are
+	moveTo func(net.Conn, Moved) error // passes a connection to the process that owns the node; nil in that
+	drains *time.Timer                 // set while the node is drained: when it goes off, connections end between requests
+	sends  bool                        // it has gone off
 	wg     sync.WaitGroup
 }
 
@@ -237,15 +240,17 @@
 	evicted bool      // its place is wanted: it ends when its request, if it has one, is answered
 }
 
-func newClients(ln net.Listener, most int, names wire.Names, hand func(request) answer) *clients {
-	return &clients{
+// NewServer serves clients on ln with at most so many connections. hand is called for each message, from many
+// goroutines, and its answer is what the client hears.
+func NewServer(ln net.Listener, most int, names wire.Names, hand func(Request) Answer) *Server {
+	return &Server{
 		ln: ln, room: make(chan struct{}, max(most, 1)), stop: make(chan struct{}), served: make(chan struct{}),
 		names: names, hand: hand, open: map[net.Conn]*peer{},
 	}
 }
 
-// serve accepts connections until the listener is closed, but while it is paused.
-func (c *clients) serve(ctx context.Context) {
+// Serve accepts connections until the listener is closed, but while it is paused.
+func (c *Server) Serve(ctx context.Context) {
 	defer close(c.served)
 	for {
 		if !c.wait() {
@@ -256,13 +261,13 @@
 			if errors.Is(err, os.ErrDeadlineExceeded) { // called back by pause
 				continue
 			}
-			if errors.Is(err, net.ErrClosed) || !sleep(ctx, firstBackoff) { // out of descriptors, most likely
+			if errors.Is(err, net.ErrClosed) || !backoff.Sleep(ctx, backoff.First) { // out of descriptors, most likely
 				return
 			}
 			continue
 		}
 		now := time.Now()
-		if !c.admit(nc, movedClient{Since: now.UnixNano()}) {
+		if !c.admit(nc, Moved{Since: now.UnixNano()}) {
 			return
 		}
 	}
@@ -270,7 +275,7 @@
 
 // admit serves a connection. With all places taken, a newcomer gets that of the connection which has stood longest
 // between requests.
-func (c *clients) admit(nc net.Conn, m movedClient) bool {
+func (c *Server) admit(nc net.Conn, m Moved) bool {
 	select {
 	case c.room <- struct{}{}:
 	default:
@@ -297,14 +302,14 @@
 	return true
 }
 
-// adopt serves a connection that another process of this node has accepted.
-func (c *clients) adopt(nc net.Conn, m movedClient) {
+// Adopt serves a connection that another process of this node has accepted.
+func (c *Server) Adopt(nc net.Conn, m Moved) {
 	m.Came = max(m.Came, 1) // it is no newcomer
 	c.admit(nc, m)
 }
 
-// pause accepts nothing until resume: newcomers stay in the socket's queue, which other processes serve.
-func (c *clients) pause() {
+// Pause accepts nothing until resume: newcomers stay in the socket's queue, which other processes serve.
+func (c *Server) Pause() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.paused == nil {
@@ -315,8 +320,8 @@
 	}
 }
 
-// resume ends a pause, and the moving of connections.
-func (c *clients) resume() {
+// Resume ends a pause, and the moving of connections.
+func (c *Server) Resume() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.moveTo = nil; c.paused != nil {
@@ -329,7 +334,7 @@
 }
 
 // wait waits for the end of a pause and tells whether there is more to accept.
-func (c *clients) wait() bool {
+func (c *Server) wait() bool {
 	c.mu.Lock()
 	paused := c.paused
 	c.mu.Unlock()
@@ -343,9 +348,9 @@
 	return true
 }
 
-// move passes each connection to another process of this node, as soon as it stands between requests or its request
+// Move passes each connection to another process of this node, as soon as it stands between requests or its request
 // is found to be that process's to answer.
-func (c *clients) move(to func(net.Conn, movedClient) error) {
+func (c *Server) Move(to func(net.Conn, Moved) error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.moveTo = to
@@ -354,14 +359,14 @@
 
 // moved passes one connection on, and tells whether that is done. If it can't be, the process at the other end is
 // gone, and none is moved any more.
-func (c *clients) moved(nc net.Conn, t *tape, since, came time.Time) bool {
+func (c *Server) moved(nc net.Conn, t *tape, since, came time.Time) bool {
 	c.mu.Lock()
 	to := c.moveTo
 	c.mu.Unlock()
 	if to == nil {
 		return false
 	}
-	if to(nc, movedClient{Raw: t.unanswered(), Since: since.UnixNano(), Came: came.UnixNano()}) == nil {
+	if to(nc, Moved{Raw: t.unanswered(), Since: since.UnixNano(), Came: came.UnixNano()}) == nil {
 		return true
 	}
 	c.mu.Lock()
@@ -370,15 +375,15 @@
 	return false
 }
 
-// count is the number of open connections.
-func (c *clients) count() int {
+// Count is the number of open connections.
+func (c *Server) Count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.open)
 }
 
 // evict calls back the connection that has stood longest between requests, if there is one.
-func (c *clients) evict() {
+func (c *Server) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var victim net.Conn
@@ -398,7 +403,7 @@
 func callBack(nc net.Conn) { nc.SetReadDeadline(time.Unix(1, 0)) }
 
 // mark notes whether a connection stands between requests, and tells whether it may go on.
-func (c *clients) mark(nc net.Conn, idle bool, since time.Time) bool {
+func (c *Server) mark(nc net.Conn, idle bool, since time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.open[nc]
@@ -419,10 +424,10 @@
 	return err == nil
 }
 
-// drain sends clients away, or takes them again. PING says no at once. The front takes a while to hear of it, and
+// Drain sends clients away, or takes them again. PING says no at once. The front takes a while to hear of it, and
 // until then its new connections are served as ever; then each connection ends between requests; a new one, the
 // front's own among them, may make one.
-func (c *clients) drain(on bool) {
+func (c *Server) Drain(on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -444,14 +449,14 @@
 }
 
 // drained tells that clients are being sent away.
-func (c *clients) drained() bool {
+func (c *Server) drained() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.drains != nil
 }
 
 // callBackIdle ends the wait of every connection between requests; the lock is held.
-func (c *clients) callBackIdle() {
+func (c *Server) callBackIdle() {
 	for nc, p := range c.open {
 		if p.idle {
 			callBack(nc)
@@ -459,7 +464,7 @@
 	}
 }
 
-func (c *clients) serveConn(nc net.Conn, m movedClient) {
+func (c *Server) serveConn(nc net.Conn, m Moved) {
 	defer func() {
 		c.mu.Lock()
 		delete(c.open, nc)
@@ -513,9 +518,9 @@
 			}
 			line = reply
 		case errors.Is(err, errTooLarge):
-			line = answer{failed: err.Error()}.line()
+			line = Answer{Failed: err.Error()}.line()
 		case errors.Is(err, errProtocol):
-			if _, err := io.WriteString(nc, answer{failed: err.Error()}.line()); err == nil {
+			if _, err := io.WriteString(nc, Answer{Failed: err.Error()}.line()); err == nil {
 				linger(nc)
 			}
 			return
@@ -533,7 +538,7 @@
 }
 
 // moving tells that connections go to another process.
-func (c *clients) moving() bool {
+func (c *Server) moving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.moveTo != nil
@@ -573,7 +578,7 @@
 func (t *tape) unanswered() []byte { return slices.Concat(t.kept, t.again) }
 
 // command answers one command.
-func (c *clients) command(args [][]byte, came time.Time) string {
+func (c *Server) command(args [][]byte, came time.Time) string {
 	switch strings.ToUpper(string(args[0])) {
 	case "PING":
 		if c.drained() {
@@ -583,11 +588,11 @@
 	case "ENQUEUE":
 		q, err := parseEnqueue(args, c.names, came)
 		if err != nil {
-			return answer{failed: err.Error()}.line()
+			return Answer{Failed: err.Error()}.line()
 		}
 		return c.hand(q).line()
 	}
-	return answer{failed: "unknown command"}.line()
+	return Answer{Failed: "unknown command"}.line()
 }
 
 // linger lets the client read the last answer: closing over unread bytes would reset the connection and take
@@ -598,9 +603,9 @@
 	}
 }
 
-// close stops accepting, hangs up on clients between requests, and lets the others have their answer first. A
+// Close stops accepting, hangs up on clients between requests, and lets the others have their answer first. A
 // client that is slow with the rest of its request must not hold the node until it is killed.
-func (c *clients) close() {
+func (c *Server) Close() {
 	close(c.stop)
 	c.ln.Close()
 	<-c.served
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,309 @@
+package ingress
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"harrierramp/internal/testkit"
+)
+
+func serveTest(t *testing.T, most int, hand func(Request) Answer) (*Server, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := NewServer(ln, most, testkit.TestNames, hand)
+	go c.Serve(t.Context())
+	t.Cleanup(func() {
+		select {
+		case <-c.stop:
+		default:
+			c.Close()
+		}
+	})
+	return c, ln.Addr().String()
+}
+
+// Whatever comes, the client hears an error, the node does not fall, and nothing of it is taken on.
+func TestBadInput(t *testing.T) {
+	_, addr := serveTest(t, 100, func(Request) Answer {
+		t.Error("bad input was handed on")
+		return Answer{}
+	})
+	big := strings.Repeat("x", maxBody+1)
+	for _, text := range []string{
+		testkit.Enqueue("id", "c=notice,d=8000,dest=7", big),
+		testkit.Enqueue("id", "c=other,d=8000,dest=7", "b"),
+		testkit.Enqueue("id", "c=notice,d=soon,dest=7", "b"),
+		testkit.Enqueue("id", "c=notice,d=NaN,dest=7", "b"),
+		testkit.Enqueue("id", "c=notice,d=-1,dest=7", "b"),
+		testkit.Enqueue("id", "c=notice,d=1e300,dest=7", "b"),
+		testkit.Enqueue("id", "c=notice,d=8000,dest=-7", "b"),
+		testkit.Enqueue("id", "c=notice,d=8000,dest=seven", "b"),
+		testkit.Enqueue("id", "c=notice,d=8000", "b"),
+		testkit.Enqueue("", "c=notice,d=8000,dest=7", "b"),
+		testkit.Enqueue("id\r\nX-Other: 1", "c=notice,d=8000,dest=7", "b"),
+		testkit.Enqueue("id", "c=notice,d=8000,dest=7,k=a b", "b"),
+		testkit.Enqueue(strings.Repeat("i", 300), "c=notice,d=8000,dest=7", "b"),
+		testkit.Enqueue("id", strings.Repeat(",", 2000), "b"),
+		testkit.Resp("ENQUEUE", "0000", "id"), testkit.Resp("FLUSHALL"), "GET / HTTP/1.1\r\n",
+		"*1\r\n$9223372036854775807\r\nPING\r\n", "*1\r\n$-5\r\n", "*2147483647\r\n", "*-3\r\n", "*x\r\n", "*1\r\n:4\r\n",
+		"*1\r\n$3\r\nPINGPONG\r\n", "*1\r\n$99999999999999999999\r\n", strings.Repeat("y", 5000),
+	} {
+		if got := testkit.Ask(t, addr, text); !strings.HasPrefix(got, "-ERR ") {
+			t.Errorf("%.60q: got %q", text, got)
+		}
+	}
+	// Half a command and a close.
+	nc, _ := testkit.DialTest(t, addr)
+	io.WriteString(nc, "*5\r\n$7\r\nENQ")
+	nc.Close()
+	if got := testkit.Ask(t, addr, testkit.Resp("ping")); got != "+PONG" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// After an error about one request, the connection goes on where the framing is sound.
+func TestConnectionGoesOnAfterAnOversizedBody(t *testing.T) {
+	var got Request
+	_, addr := serveTest(t, 100, func(q Request) Answer {
+		got = q
+		return Answer{}
+	})
+	nc, br := testkit.DialTest(t, addr)
+	go io.WriteString(nc, testkit.Enqueue("a", "c=notice,d=8000,dest=7", strings.Repeat("x", maxBody+1))+
+		"PING\r\n"+testkit.Enqueue("b", "c=notice,t=globex,d=1500.5,dest=7,k=key,r=1", "\r\n\x00$*")+testkit.Resp("PING"))
+	for _, want := range []string{"-ERR a body", "+PONG", "+OK", "+PONG"} {
+		if line, err := br.ReadString('\n'); err != nil || !strings.HasPrefix(line, want) {
+			t.Fatalf("got %q, %v, want %q", line, err, want)
+		}
+	}
+	if got.ID != "b" || got.Tenant != 1 || got.Key != "key" || got.Dest != 7 || got.Life != 1500500*time.Microsecond || string(got.Body) != "\r\n\x00$*" {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestAnswerLines(t *testing.T) {
+	for want, a := range map[string]Answer{
+		"+OK\r\n": {}, "-BUSY\r\n": {Refused: true}, "-BUSY 1500\r\n": {Refused: true, After: 1500 * time.Millisecond},
+		"-ERR no\r\n": {Failed: "no"},
+	} {
+		if got := a.line(); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
+
+// A request that has been read gets its answer, also while the node hangs up on everybody.
+func TestCloseAnswersWhatWasRead(t *testing.T) {
+	inside, release := make(chan struct{}), make(chan struct{})
+	c, addr := serveTest(t, 100, func(Request) Answer {
+		close(inside)
+		<-release
+		return Answer{}
+	})
+	idle, idleReader := testkit.DialTest(t, addr)
+	io.WriteString(idle, testkit.Resp("PING"))
+	if _, err := idleReader.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	nc, br := testkit.DialTest(t, addr)
+	io.WriteString(nc, testkit.Enqueue("a", "c=notice,d=8000,dest=7", "b"))
+	<-inside
+	done := make(chan struct{})
+	go func() {
+		c.Close()
+		close(done)
+	}()
+	if _, err := idleReader.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v", err)
+	}
+	close(release)
+	if line, err := br.ReadString('\n'); line != "+OK\r\n" {
+		t.Errorf("got %q, %v", line, err)
+	}
+	<-done
+}
+
+// Half a request must not keep the node from leaving before it is killed.
+func TestCloseDoesNotWaitForHalfARequest(t *testing.T) {
+	c, addr := serveTest(t, 100, func(Request) Answer { return Answer{} })
+	nc, br := testkit.DialTest(t, addr)
+	io.WriteString(nc, testkit.Resp("PING")+"*5\r\n$7\r\nENQ")
+	if line, err := br.ReadString('\n'); line != "+PONG\r\n" {
+		t.Fatalf("got %q, %v", line, err)
+	}
+	done := make(chan struct{})
+	go func() {
+		c.Close()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(requestTimeout - 200*time.Millisecond):
+		t.Error("the node waits for the rest of a request")
+	}
+}
+
+// Descriptors are bounded, and whoever holds a place without a request yields it to a newcomer.
+func TestConnectionsAreCapped(t *testing.T) {
+	c, addr := serveTest(t, 2, func(Request) Answer { return Answer{} })
+	for range 5 { // silent, but open
+		nc, br := testkit.DialTest(t, addr)
+		io.WriteString(nc, testkit.Resp("PING"))
+		if line, err := br.ReadString('\n'); line != "+PONG\r\n" {
+			t.Fatalf("got %q, %v", line, err)
+		}
+		c.mu.Lock()
+		open := len(c.open)
+		c.mu.Unlock()
+		if open > 2 {
+			t.Errorf("%d connections are open", open)
+		}
+	}
+}
+
+// A peer that has no proper request must not hold its place for more than the platform's 3 s.
+func TestPeersWithoutARequestAreHungUpOn(t *testing.T) {
+	for name, act := range map[string]func(net.Conn){
+		"silent":      func(net.Conn) {},
+		"empty lines": func(nc net.Conn) { drip(nc, strings.Repeat("\r\n", 100), 500*time.Millisecond) },
+		"slow":        func(nc net.Conn) { drip(nc, testkit.Enqueue("a", "c=notice,d=8000,dest=7", "b"), 100*time.Millisecond) },
+		"not reading": func(nc net.Conn) { io.WriteString(nc, testkit.Resp("PING")) },
+		"silent after a request": func(nc net.Conn) {
+			io.WriteString(nc, testkit.Resp("PING"))
+			bufio.NewReader(nc).ReadString('\n')
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := NewServer(nil, 1, testkit.TestNames, func(q Request) Answer {
+					t.Errorf("%q was handed in", q.ID)
+					return Answer{}
+				})
+				near, far := net.Pipe()
+				c.open[near] = &peer{idle: true, since: time.Now()}
+				began := time.Now()
+				var acting sync.WaitGroup
+				acting.Go(func() { act(far) })
+				c.serveConn(near, Moved{Since: time.Now().UnixNano()})
+				if took := time.Since(began); took > 2900*time.Millisecond {
+					t.Errorf("closed after %s", took)
+				}
+				far.Close()
+				acting.Wait()
+			})
+		})
+	}
+}
+
+// drip writes text a byte at a time until it is hung up on.
+func drip(nc net.Conn, text string, pause time.Duration) {
+	for _, b := range []byte(text) {
+		if _, err := nc.Write([]byte{b}); err != nil {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+// A request that comes cut at any byte is one request, and what follows it in the same piece is the next.
+func TestRequestCutAtAnyByte(t *testing.T) {
+	handed := make(chan Request, 1)
+	_, addr := serveTest(t, 4, func(q Request) Answer {
+		handed <- q
+		return Answer{}
+	})
+	text := testkit.Enqueue("id", "c=notice,t=globex,d=8000,dest=7", "bo\r\ndy")
+	nc, br := testkit.DialTest(t, addr)
+	for cut := 1; cut < len(text); cut++ {
+		if _, err := io.WriteString(nc, text[:cut]); err != nil {
+			t.Fatal(err)
+		}
+		runtime.Gosched() // the pieces may still come as one; most don't
+		testkit.MustSay(t, nc, br, text[cut:], "+OK")
+		if q := <-handed; string(q.Body) != "bo\r\ndy" || q.ID != "id" || q.Dest != 7 || q.Tenant != 1 {
+			t.Fatalf("cut at %d: got %+v", cut, q)
+		}
+	}
+	testkit.MustSay(t, nc, br, text+testkit.Resp("PING"), "+OK")
+	<-handed
+	if line, err := br.ReadString('\n'); line != "+PONG\r\n" {
+		t.Errorf("got %q, %v", line, err)
+	}
+}
+
+// Clients walk away inside a request, or before its answer: nothing of half a request is taken on, the whole one
+// is, once, and the places are free again.
+func TestClientsThatWalkAway(t *testing.T) {
+	handed, answers := make(chan Request, 100), make(chan struct{})
+	c, addr := serveTest(t, 4, func(q Request) Answer {
+		handed <- q
+		<-answers
+		return Answer{}
+	})
+	text := testkit.Enqueue("id", "c=notice,t=acme,d=8000,dest=7", strings.Repeat("x", 100))
+	for cut := 0; cut < len(text); cut += 7 {
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(nc, text[:cut]); err != nil {
+			t.Fatal(err)
+		}
+		nc.Close()
+	}
+	nc, _ := testkit.DialTest(t, addr)
+	if _, err := io.WriteString(nc, text); err != nil {
+		t.Fatal(err)
+	}
+	if q := <-handed; q.ID != "id" {
+		t.Errorf("%q was handed in", q.ID)
+	}
+	nc.Close()
+	close(answers)
+	testkit.Eventually(t, "the places are free", func() bool { return c.Count() == 0 && len(c.room) == 0 })
+	if len(handed) != 0 {
+		t.Errorf("%d messages beside the whole one", len(handed))
+	}
+}
+
+func TestCloseDoesNotCrossARequest(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	far, _ := testkit.DialTest(t, ln.Addr().String())
+	near, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	r := bufio.NewReader(near)
+	callBack(near)
+	if _, err := r.Peek(1); err == nil || lastLook(near, r, err) {
+		t.Fatalf("%v, and a request where none has come", err)
+	}
+	callBack(near)
+	if _, err := io.WriteString(far, testkit.Resp("PING")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Peek(1); err == nil || !lastLook(near, r, err) {
+		t.Fatalf("%v, and a request is not seen", err)
+	}
+	if args, err := readCommand(r); err != nil || string(args[0]) != "PING" {
+		t.Errorf("got %q, %v", args, err)
+	}
+	if _, err := r.Peek(1); lastLook(near, r, io.EOF) {
+		t.Errorf("%v, and the end of a connection is taken for a request", err)
+	}
+}
--- a/internal/node/passed.go
+++ b/internal/ingress/passed.go
@@ -1,4 +1,4 @@
-package node
+package ingress
 
 import (
 	"errors"
--- a/internal/node/journal.go
+++ b/internal/journal/journal.go
@@ -1,4 +1,6 @@
-package node
+// Package journal keeps messages that a node has taken on until nothing is owed for them any more. One goroutine owns a
+// Journal.
+package journal
 
 import (
 	"bufio"
@@ -7,8 +9,10 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 )
 
@@ -28,11 +32,11 @@
 const (
 	journalName    = "journal"
 	recordHead     = 8
-	maxRecord      = maxBody + 4*maxWord + 64
-	messageReserve = 1024      // room for the small records that will follow an accepted message
-	minCompact     = 256 << 10 // a smaller file is not worth compacting
-	defaultDiskMB  = 3
-	compactPause   = 100 * time.Millisecond // after a failed compaction
+	maxRecord      = 64<<10 + 4<<10 + 64 // of the largest body and words that clients may send
+	messageReserve = 1024                // room for the small records that will follow an accepted message
+	minCompact     = 256 << 10           // a smaller file is not worth compacting
+	DefaultDiskMB  = 3
+	CompactPause   = 100 * time.Millisecond // after a failed compaction
 )
 
 var (
@@ -40,44 +44,44 @@
 	errJournalDown = errors.New("journal: it could not be written a moment ago")
 )
 
-// past is all that the journal knows of a message that still owes something.
-type past struct {
+// Message is all that the journal knows of a message that still owes something.
+type Message struct {
 	seq      uint64
-	id, key  string
-	class    int
-	tenant   int // -1 for none
-	dest     int
-	body     []byte
-	deadline time.Time
-	sends    []pastSend
-	ended    *ending
+	ID, Key  string
+	Class    int
+	Tenant   int // -1 for none
+	Dest     int
+	Body     []byte
+	Deadline time.Time
+	Sends    []Send
+	Ended    *Ending
 }
 
-// pastSend is an attempt. One that has not failed was out when the journal ended, and may have run as well.
-type pastSend struct {
-	at             time.Time
-	zone           int
-	notRun, failed bool
+// Send is an attempt. One that has not failed was out when the journal ended, and may have run as well.
+type Send struct {
+	At             time.Time
+	Zone           int
+	NotRun, Failed bool
 }
 
-// ending is the final answer of a message.
-type ending struct {
-	failed bool
-	after  time.Duration
+// Ending is the final answer of a message.
+type Ending struct {
+	Failed bool
+	After  time.Duration
 }
 
 // size is about the room that a message takes in the journal.
-func (p *past) size() int64 {
-	return int64(len(p.body)+len(p.id)+len(p.key)) + messageReserve
+func (p *Message) size() int64 {
+	return int64(len(p.Body)+len(p.ID)+len(p.Key)) + messageReserve
 }
 
-// journal appends records and keeps what is live, so that it can write the file anew.
-type journal struct {
+// Journal appends records and keeps what is live, so that it can write the file anew.
+type Journal struct {
 	dir     string
 	budget  int64
 	f       *os.File
 	written int64 // good bytes in the file
-	live    map[uint64]*past
+	live    map[uint64]*Message
 	held    int64  // sum of the sizes of what is live
 	pending []byte // records not yet in the file
 	next    uint64
@@ -85,12 +89,12 @@
 	retryAt time.Time
 }
 
-// openJournal replays the journal in dir, as far as its records are whole.
-func openJournal(dir string, diskMB float64) (*journal, error) {
+// Open replays the journal in dir, as far as its records are whole.
+func Open(dir string, diskMB float64) (*Journal, error) {
 	if diskMB <= 0 {
-		diskMB = defaultDiskMB
+		diskMB = DefaultDiskMB
 	}
-	j := &journal{dir: dir, budget: int64(diskMB*(1<<20)) - 16<<10, live: map[uint64]*past{}, next: 1}
+	j := &Journal{dir: dir, budget: int64(diskMB*(1<<20)) - 16<<10, live: map[uint64]*Message{}, next: 1}
 	// A compaction that was cut short left its file; the old one is still whole.
 	if err := os.Remove(j.path() + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("journal: %w", err)
@@ -115,7 +119,7 @@
 	return j, nil
 }
 
-func (j *journal) path() string { return filepath.Join(j.dir, journalName) }
+func (j *Journal) path() string { return filepath.Join(j.dir, journalName) }
 
 func readRecord(r io.Reader) ([]byte, error) {
 	var head [recordHead]byte
@@ -174,7 +178,7 @@
 }
 
 // apply brings what is live up to date with one record.
-func (j *journal) apply(payload []byte) {
+func (j *Journal) apply(payload []byte) {
 	f := &fields{b: payload[1:]}
 	seq := f.number()
 	j.next = max(j.next, seq+1)
@@ -184,33 +188,33 @@
 	}
 	switch payload[0] {
 	case recAccepted:
-		p = &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
-			deadline: f.time(), body: f.bytes(), tenant: -1}
+		p = &Message{seq: seq, ID: string(f.bytes()), Key: string(f.bytes()), Class: int(f.number()), Dest: int(f.number()),
+			Deadline: f.time(), Body: f.bytes(), Tenant: -1}
 		if len(f.b) > 0 { // not in journals of earlier builds
-			p.tenant = int(f.number()) - 1
+			p.Tenant = int(f.number()) - 1
 		}
 		if !f.bad {
 			j.live[seq] = p
 			j.held += p.size()
 		}
 	case recAttempt:
-		s := pastSend{at: f.time(), zone: int(f.number())}
+		s := Send{At: f.time(), Zone: int(f.number())}
 		if !f.bad {
-			p.sends = append(p.sends, s)
+			p.Sends = append(p.Sends, s)
 		}
 	case recNotRun:
-		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
-			p.sends[n].notRun, p.sends[n].failed = true, true
+		if n := f.number(); !f.bad && n < uint64(len(p.Sends)) {
+			p.Sends[n].NotRun, p.Sends[n].Failed = true, true
 		}
 	case recFailed:
-		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
-			p.sends[n].failed = true
+		if n := f.number(); !f.bad && n < uint64(len(p.Sends)) {
+			p.Sends[n].Failed = true
 		}
 	case recEnded:
-		e := &ending{failed: f.number() == 1, after: time.Duration(f.number()) * time.Millisecond}
+		e := &Ending{Failed: f.number() == 1, After: time.Duration(f.number()) * time.Millisecond}
 		if !f.bad {
 			j.held -= p.size()
-			p.ended, p.body, p.sends = e, nil, nil // only the notice is owed
+			p.Ended, p.Body, p.Sends = e, nil, nil // only the notice is owed
 			j.held += p.size()
 		}
 	case recOver:
@@ -220,7 +224,7 @@
 }
 
 // add queues a record for the next flush, and brings what is live up to date.
-func (j *journal) add(payload []byte) {
+func (j *Journal) add(payload []byte) {
 	j.pending = appendRecord(j.pending, payload)
 	j.apply(payload)
 }
@@ -231,14 +235,41 @@
 	return append(b, payload...)
 }
 
+// Attempt notes that an attempt is about to be sent.
+func (j *Journal) Attempt(p *Message, at time.Time, zone int) { j.add(attemptRecord(p.seq, at, zone)) }
+
+// NotRun notes that the n-th attempt failed and is proven not to have run.
+func (j *Journal) NotRun(p *Message, n int) { j.add(outcomeRecord(recNotRun, p.seq, n)) }
+
+// Failed notes that the n-th attempt failed and may have run.
+func (j *Journal) Failed(p *Message, n int) { j.add(outcomeRecord(recFailed, p.seq, n)) }
+
+// Ended notes the final answer of a message, whose notice is still owed.
+func (j *Journal) Ended(p *Message, e Ending) { j.add(endedRecord(p.seq, e)) }
+
+// Over notes that nothing is owed any more.
+func (j *Journal) Over(p *Message) { j.add(record(recOver, p.seq)) }
+
+// Owed are the messages that still owe something, in the order in which they were taken on.
+func (j *Journal) Owed() []*Message {
+	out := make([]*Message, 0, len(j.live))
+	for _, seq := range slices.Sorted(maps.Keys(j.live)) {
+		out = append(out, j.live[seq])
+	}
+	return out
+}
+
+// Down tells that the file lacks records of what is owed: it is to be flushed again, and takes nothing on.
+func (j *Journal) Down() bool { return j.broken }
+
 func record(kind byte, seq uint64) []byte { return binary.AppendUvarint([]byte{kind}, seq) }
 
-func acceptedRecord(p *past) []byte {
+func acceptedRecord(p *Message) []byte {
 	b := record(recAccepted, p.seq)
-	b = appendBytes(appendBytes(b, []byte(p.id)), []byte(p.key))
-	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.class)), uint64(p.dest))
-	b = appendBytes(appendTime(b, p.deadline), p.body)
-	return binary.AppendUvarint(b, uint64(p.tenant+1))
+	b = appendBytes(appendBytes(b, []byte(p.ID)), []byte(p.Key))
+	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.Class)), uint64(p.Dest))
+	b = appendBytes(appendTime(b, p.Deadline), p.Body)
+	return binary.AppendUvarint(b, uint64(p.Tenant+1))
 }
 
 func attemptRecord(seq uint64, at time.Time, zone int) []byte {
@@ -250,18 +281,18 @@
 	return binary.AppendUvarint(record(kind, seq), uint64(attempt))
 }
 
-func endedRecord(seq uint64, e ending) []byte {
+func endedRecord(seq uint64, e Ending) []byte {
 	failed := uint64(0)
-	if e.failed {
+	if e.Failed {
 		failed = 1
 	}
 	b := binary.AppendUvarint(record(recEnded, seq), failed)
-	return binary.AppendUvarint(b, uint64(e.after/time.Millisecond))
+	return binary.AppendUvarint(b, uint64(e.After/time.Millisecond))
 }
 
-// accept numbers a new message, queues its record and returns what is kept of it; it refuses what the disk may not have room for.
+// Accept numbers a new message, queues its record and returns what is kept of it; it refuses what the disk may not have room for.
 // Twice what is live must fit, since a compaction holds the old file and the new one at once.
-func (j *journal) accept(p *past) (*past, error) {
+func (j *Journal) Accept(p *Message) (*Message, error) {
 	if j.broken {
 		return nil, errJournalDown
 	}
@@ -273,9 +304,9 @@
 	return j.live[p.seq], nil
 }
 
-// flush writes what is queued. On an error nothing that the queued records guard may be done. What is live
+// Flush writes what is queued. On an error nothing that the queued records guard may be done. What is live
 // stays true all the same, and goes to a new file as soon as one can be written.
-func (j *journal) flush() error {
+func (j *Journal) Flush() error {
 	if len(j.pending) == 0 && !j.broken {
 		return nil
 	}
@@ -294,18 +325,18 @@
 }
 
 // rewind cuts off whatever stands behind the last whole record.
-func (j *journal) rewind() error {
+func (j *Journal) rewind() error {
 	return j.f.Truncate(j.written)
 }
 
 // compact writes what is live, queued records included, to a new file that takes the old one's place.
-func (j *journal) compact() (err error) {
+func (j *Journal) compact() (err error) {
 	if time.Now().Before(j.retryAt) {
 		return errJournalDown
 	}
 	defer func() {
 		if err != nil { // a full disk should not have all that is live written to it again and again
-			j.pending, j.broken, j.retryAt = nil, true, time.Now().Add(compactPause)
+			j.pending, j.broken, j.retryAt = nil, true, time.Now().Add(CompactPause)
 		}
 	}()
 	f, err := os.OpenFile(j.path()+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
@@ -325,17 +356,17 @@
 	}
 	for _, p := range j.live {
 		put(acceptedRecord(p))
-		for i, s := range p.sends {
-			put(attemptRecord(p.seq, s.at, s.zone))
+		for i, s := range p.Sends {
+			put(attemptRecord(p.seq, s.At, s.Zone))
 			switch {
-			case s.notRun:
+			case s.NotRun:
 				put(outcomeRecord(recNotRun, p.seq, i))
-			case s.failed:
+			case s.Failed:
 				put(outcomeRecord(recFailed, p.seq, i))
 			}
 		}
-		if p.ended != nil {
-			put(endedRecord(p.seq, *p.ended))
+		if p.Ended != nil {
+			put(endedRecord(p.seq, *p.Ended))
 		}
 	}
 	if err := w.Flush(); err != nil {
@@ -350,6 +381,7 @@
 	return nil
 }
 
-func (j *journal) close() error {
-	return errors.Join(j.flush(), j.f.Close())
+// Close writes what is queued and closes the file.
+func (j *Journal) Close() error {
+	return errors.Join(j.Flush(), j.f.Close())
 }
--- a/internal/node/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -1,4 +1,4 @@
-package node
+package journal
 
 import (
 	"bytes"
@@ -9,11 +9,13 @@
 	"reflect"
 	"testing"
 	"time"
+
+	"harrierramp/internal/testkit"
 )
 
-func openTest(t *testing.T, dir string, mb float64) *journal {
+func openTest(t *testing.T, dir string, mb float64) *Journal {
 	t.Helper()
-	j, err := openJournal(dir, mb)
+	j, err := Open(dir, mb)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -21,17 +23,17 @@
 	return j
 }
 
-func mustFlush(t *testing.T, j *journal) {
+func mustFlush(t *testing.T, j *Journal) {
 	t.Helper()
-	if err := j.flush(); err != nil {
+	if err := j.Flush(); err != nil {
 		t.Fatal(err)
 	}
 }
 
-func mustAccept(t *testing.T, j *journal, id string, body []byte) *past {
+func mustAccept(t *testing.T, j *Journal, id string, body []byte) *Message {
 	t.Helper()
-	p, err := j.accept(&past{
-		id: id, key: "k" + id, class: 1, tenant: 2, dest: 7, body: body, deadline: time.UnixMicro(time.Now().UnixMicro()),
+	p, err := j.Accept(&Message{
+		ID: id, Key: "k" + id, Class: 1, Tenant: 2, Dest: 7, Body: body, Deadline: time.UnixMicro(time.Now().UnixMicro()),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -40,7 +42,7 @@
 }
 
 // history writes something of every kind, and returns what is then live.
-func history(t *testing.T, j *journal) map[uint64]*past {
+func history(t *testing.T, j *Journal) map[uint64]*Message {
 	t.Helper()
 	now := time.UnixMicro(time.Now().UnixMicro())
 	a, b := mustAccept(t, j, "a", []byte("body of a")), mustAccept(t, j, "b", nil)
@@ -49,25 +51,25 @@
 	j.add(attemptRecord(a.seq, now.Add(time.Second), 2))
 	j.add(outcomeRecord(recNotRun, a.seq, 0))
 	j.add(outcomeRecord(recFailed, a.seq, 1))
-	j.add(endedRecord(b.seq, ending{after: 500 * time.Millisecond}))
-	j.add(endedRecord(c.seq, ending{failed: true}))
+	j.add(endedRecord(b.seq, Ending{After: 500 * time.Millisecond}))
+	j.add(endedRecord(c.seq, Ending{Failed: true}))
 	j.add(record(recOver, d.seq))
 	mustFlush(t, j)
 	return j.live
 }
 
-func sameLive(t *testing.T, got, want map[uint64]*past) {
+func sameLive(t *testing.T, got, want map[uint64]*Message) {
 	t.Helper()
 	if len(got) != len(want) {
 		t.Fatalf("%d live, want %d", len(got), len(want))
 	}
 	for seq, w := range want {
 		g := got[seq]
-		if g == nil || !bytes.Equal(g.body, w.body) {
+		if g == nil || !bytes.Equal(g.Body, w.Body) {
 			t.Fatalf("got %+v, want %+v", g, w)
 		}
 		gc, wc := *g, *w
-		gc.body, wc.body = nil, nil
+		gc.Body, wc.Body = nil, nil
 		if !reflect.DeepEqual(gc, wc) {
 			t.Errorf("got %+v, want %+v", gc, wc)
 		}
@@ -125,11 +127,11 @@
 	dir := t.TempDir()
 	const mb = 1
 	j := openTest(t, dir, mb)
-	body := make([]byte, maxBody)
-	var held []*past
+	body := make([]byte, 64<<10)
+	var held []*Message
 	most, refused := int64(0), 0
 	for i := range 400 {
-		p, err := j.accept(&past{id: fmt.Sprint(i), body: body, deadline: time.Now()})
+		p, err := j.Accept(&Message{ID: fmt.Sprint(i), Body: body, Deadline: time.Now()})
 		switch {
 		case errors.Is(err, errDiskBudget):
 			refused++
@@ -192,19 +194,19 @@
 		t.Fatal(err)
 	}
 	p := mustAccept(t, j, "lost", []byte("x"))
-	if err := j.flush(); err == nil {
+	if err := j.Flush(); err == nil {
 		t.Fatal("the full disk took it")
 	}
 	j.add(record(recOver, p.seq)) // its client is refused
-	if _, err := j.accept(&past{id: "more"}); err == nil {
+	if _, err := j.Accept(&Message{ID: "more"}); err == nil {
 		t.Error("taken on without a journal")
 	}
-	if err := j.flush(); err == nil {
+	if err := j.Flush(); err == nil {
 		t.Error("compacted onto a full disk")
 	}
 	if err := os.Remove(j.path() + ".new"); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "the journal is written again", func() bool { return j.flush() == nil })
+	testkit.Eventually(t, "the journal is written again", func() bool { return j.Flush() == nil })
 	sameLive(t, openTest(t, dir, 3).live, want)
 }
--- /dev/null
+++ b/internal/listwatch/doubt_test.go
@@ -0,0 +1,84 @@
+package listwatch
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// members are serving endpoints with these ids.
+func membersOf(ids ...string) (out []Member) {
+	for _, id := range ids {
+		out = append(out, Member{ID: id, Phase: "SERVING"})
+	}
+	return out
+}
+
+const testGrace = 1200 * time.Millisecond
+
+// doubtOf is a doubt that knows six endpoints at revision 10 and may ask servers at these addresses.
+func doubtOf(t *testing.T, addrs ...string) *Doubt {
+	t.Helper()
+	var older, doubted atomic.Int64
+	return NewDoubt(Doubt{
+		Log: slog.New(slog.NewTextHandler(t.Output(), nil)), Client: http.DefaultClient, At: NewAddresses(addrs),
+		Hold: testGrace * 3 / 4, Head: 10, Older: &older, Doubted: &doubted,
+	}, slices.Values(membersOf("a", "b", "c", "d", "e", "f")))
+}
+
+func TestAListNeverGoesBack(t *testing.T) {
+	d := doubtOf(t, "127.0.0.1:1")
+	if _, err := d.Check(t.Context(), List{Revision: 9, Complete: true}); !errors.Is(err, errOlderList) {
+		t.Errorf("an older list: %v", err)
+	}
+	if _, err := d.Check(t.Context(), List{Revision: 10}); err != nil {
+		t.Errorf("the list that is known: %v", err)
+	}
+	if got := d.Older.Load(); got != 1 {
+		t.Errorf("%d refused", got)
+	}
+}
+
+func TestAListWithoutMostEndpointsIsDoubted(t *testing.T) {
+	var answer atomic.Value
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, answer.Load())
+	}))
+	t.Cleanup(srv.Close)
+	const later = `{"revision":12,"complete":true,"members":[{"id":"a"},{"id":"b"},{"id":"c"},{"id":"d"}]}`
+	const same = `{"revision":11,"complete":true,"members":[{"id":"a"}]}`
+	for name, c := range map[string]struct {
+		told   List
+		answer string
+		want   int64 // the revision that is taken
+		held   bool
+	}{
+		"lost, and back by now":    {List{Revision: 11, Complete: true, Members: membersOf("a")}, later, 12, false},
+		"lost for good":            {List{Revision: 11, Complete: true, Members: membersOf("a")}, same, 11, true},
+		"empty, and nobody sane":   {List{Revision: 11, Complete: true}, "{", 11, true},
+		"half of them":             {List{Revision: 11, Complete: true, Members: membersOf("a", "b", "c")}, later, 11, false},
+		"said by name":             {List{Revision: 11, Members: []Member{{ID: "a", Phase: "DELETED"}, {ID: "b", Phase: "DELETED"}, {ID: "c", Phase: "DELETED"}, {ID: "d", Phase: "DELETED"}}}, later, 11, false},
+		"replaced by as many more": {List{Revision: 11, Complete: true, Members: membersOf("u", "v", "w", "x", "y", "z")}, later, 12, false},
+	} {
+		answer.Store(c.answer)
+		d := doubtOf(t, srv.Listener.Addr().String())
+		began := time.Now()
+		got, err := d.Check(t.Context(), c.told)
+		took := time.Since(began)
+		if err != nil || got.Revision != c.want {
+			t.Errorf("%s: revision %d is taken, %v", name, got.Revision, err)
+		}
+		if c.held != (took >= d.Hold) || d.Hold >= testGrace {
+			t.Errorf("%s: held for %v, may be for %v of a grace of %v", name, took, d.Hold, testGrace)
+		}
+		if d.Head != got.Revision {
+			t.Errorf("%s: known is revision %d", name, d.Head)
+		}
+	}
+}
--- a/internal/node/figures.go
+++ b/internal/metrics/metrics.go
@@ -1,4 +1,5 @@
-package node
+// Package metrics counts what a node does, for its operators.
+package metrics
 
 import (
 	"bytes"
@@ -9,65 +10,68 @@
 	"harrierramp/internal/membership"
 )
 
-// figures are what the operators read. Counters run from the start of the process, each counted once, where its
+// Set are what the operators read. Counters run from the start of the process, each counted once, where its
 // event happens; the loop publishes the gauges after every step, so that a reader waits for nobody.
-type figures struct {
+type Set struct {
 	classes []string
 	ends    []ends       // by class
-	tries   atomic.Int64 // messages written whole to endpoints
+	Tries   atomic.Int64 // messages written whole to endpoints
 
-	active, poolSize, poolEjected atomic.Int64
+	Active, PoolSize, PoolEjected atomic.Int64
 
 	// Of the other nodes; told only where membership is on.
-	fellows                                     bool
+	Fellows                                     bool
 	present, suspects, agreedAgo, health        atomic.Int64
-	refuted, probes, missed, strange, strangers atomic.Int64
+	refuted, probes, missed, strange, Strangers atomic.Int64
 	// Of the list; told only where it is the project's own service's.
-	ownList                                         bool
-	listRevision, listOlder, listDoubted, listTurns atomic.Int64
+	OwnList                                         bool
+	ListRevision, ListOlder, ListDoubted, ListTurns atomic.Int64
 	listHeard                                       atomic.Int64 // Unix time in nanoseconds of a server's last line
 }
 
 // ends counts the final answers of a class.
 type ends struct{ ok, shed, errors atomic.Int64 }
 
-func newFigures(classes []string) *figures {
-	f := &figures{classes: classes, ends: make([]ends, len(classes))}
-	f.listLine()
+// New has a figure for each of the classes.
+func New(classes []string) *Set {
+	f := &Set{classes: classes, ends: make([]ends, len(classes))}
+	f.ListLine()
 	return f
 }
 
-// delivered, shed and failed count a message's final answer. A class that the settings don't name has no figure.
-func (f *figures) delivered(class int) {
+// Delivered counts a message's final answer, as Shed and Failed do. A class that the settings don't name has no figure.
+func (f *Set) Delivered(class int) {
 	if e := f.of(class); e != nil {
 		e.ok.Add(1)
 	}
 }
 
-func (f *figures) shed(class int) {
+// Shed counts a message that was refused or handed back.
+func (f *Set) Shed(class int) {
 	if e := f.of(class); e != nil {
 		e.shed.Add(1)
 	}
 }
 
-func (f *figures) failed(class int) {
+// Failed counts a message that failed for good.
+func (f *Set) Failed(class int) {
 	if e := f.of(class); e != nil {
 		e.errors.Add(1)
 	}
 }
 
-func (f *figures) of(class int) *ends {
+func (f *Set) of(class int) *ends {
 	if f == nil || class < 0 || class >= len(f.ends) {
 		return nil
 	}
 	return &f.ends[class]
 }
 
-// listLine notes that a list server has said something.
-func (f *figures) listLine() { f.listHeard.Store(time.Now().UnixNano()) }
+// ListLine notes that a list server has said something.
+func (f *Set) ListLine() { f.listHeard.Store(time.Now().UnixNano()) }
 
-// publishFellows brings the figures of membership up to date.
-func (f *figures) publishFellows(core *membership.Core, now time.Duration) {
+// PublishFellows brings the figures of membership up to date.
+func (f *Set) PublishFellows(core *membership.Core, now time.Duration) {
 	present, suspects := core.Present()
 	agreed, health := core.Agreed()
 	f.present.Store(int64(present))
@@ -83,8 +87,8 @@
 	f.strange.Store(core.Counts.Strange)
 }
 
-// text writes the figures as StatsD lines.
-func (f *figures) text() []byte {
+// Text writes the figures as StatsD lines.
+func (f *Set) Text() []byte {
 	var b bytes.Buffer
 	for i, name := range f.classes {
 		e := &f.ends[i]
@@ -92,18 +96,18 @@
 		fmt.Fprintf(&b, "router.shed.%s:%d|c\n", name, e.shed.Load())
 		fmt.Fprintf(&b, "router.errors.%s:%d|c\n", name, e.errors.Load())
 	}
-	fmt.Fprintf(&b, "router.tries:%d|c\n", f.tries.Load())
-	fmt.Fprintf(&b, "router.active:%d|g\n", f.active.Load())
-	fmt.Fprintf(&b, "router.pool_size:%d|g\n", f.poolSize.Load())
-	fmt.Fprintf(&b, "router.pool_ejected:%d|g\n", f.poolEjected.Load())
-	if f.ownList {
-		fmt.Fprintf(&b, "router.list_revision:%d|g\n", f.listRevision.Load())
+	fmt.Fprintf(&b, "router.tries:%d|c\n", f.Tries.Load())
+	fmt.Fprintf(&b, "router.active:%d|g\n", f.Active.Load())
+	fmt.Fprintf(&b, "router.pool_size:%d|g\n", f.PoolSize.Load())
+	fmt.Fprintf(&b, "router.pool_ejected:%d|g\n", f.PoolEjected.Load())
+	if f.OwnList {
+		fmt.Fprintf(&b, "router.list_revision:%d|g\n", f.ListRevision.Load())
 		fmt.Fprintf(&b, "router.list_silent_ms:%d|g\n", time.Since(time.Unix(0, f.listHeard.Load())).Milliseconds())
-		fmt.Fprintf(&b, "router.list_turns:%d|c\n", f.listTurns.Load())
-		fmt.Fprintf(&b, "router.list_older:%d|c\n", f.listOlder.Load())
-		fmt.Fprintf(&b, "router.list_doubted:%d|c\n", f.listDoubted.Load())
+		fmt.Fprintf(&b, "router.list_turns:%d|c\n", f.ListTurns.Load())
+		fmt.Fprintf(&b, "router.list_older:%d|c\n", f.ListOlder.Load())
+		fmt.Fprintf(&b, "router.list_doubted:%d|c\n", f.ListDoubted.Load())
 	}
-	if f.fellows {
+	if f.Fellows {
 		fmt.Fprintf(&b, "router.members_present:%d|g\n", f.present.Load())
 		fmt.Fprintf(&b, "router.members_suspect:%d|g\n", f.suspects.Load())
 		fmt.Fprintf(&b, "router.members_agreed_ms:%d|g\n", f.agreedAgo.Load())
@@ -112,7 +116,7 @@
 		fmt.Fprintf(&b, "router.members_probes:%d|c\n", f.probes.Load())
 		fmt.Fprintf(&b, "router.members_missed:%d|c\n", f.missed.Load())
 		fmt.Fprintf(&b, "router.members_strange:%d|c\n", f.strange.Load())
-		fmt.Fprintf(&b, "router.members_strangers:%d|c\n", f.strangers.Load())
+		fmt.Fprintf(&b, "router.members_strangers:%d|c\n", f.Strangers.Load())
 	}
 	return b.Bytes()
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,6 +9,7 @@
 	"os"
 
 	"harrierramp/choice"
+	"harrierramp/internal/listwatch"
 	"harrierramp/internal/wire"
 )
 
@@ -27,7 +28,7 @@
 	} `json:"limits"`
 	PeerListen  string          `json:"peer_listen"` // where datagrams of other nodes come
 	Peers       []string        `json:"peers"`       // all nodes by their numbers, this one too
-	Known       list            `json:"known"`
+	Known       listwatch.List  `json:"known"`
 	Registry    *ListService    `json:"registry"`   // the project's own list service, in place of Discovery; nil for none
 	Membership  *Membership     `json:"membership"` // nodes tell each other who is there; nil for off
 	RawSettings json.RawMessage `json:"settings"`
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -5,23 +5,24 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/backoff"
 )
 
 // busiestSecond is the most asks within a second that a fleet makes whose every ask fails, all from the same moment on.
 func busiestSecond(fleet int, asks bool) int {
-	return busiest(fleet, func() backoff { return askPauses(choice.Settings{Fleet: fleet, AskForList: asks}) })
+	return busiest(fleet, func() backoff.Backoff { return askPauses(choice.Settings{Fleet: fleet, AskForList: asks}) })
 }
 
-func busiest(fleet int, pauses func() backoff) int {
+func busiest(fleet int, pauses func() backoff.Backoff) int {
 	const length = 120
 	counts := make([]int, length*10)
 	for range fleet {
 		pause := pauses()
-		if pause.last == 0 { // all ask at once, and hear
+		if pause.Last == 0 { // all ask at once, and hear
 			counts[0]++
 			continue
 		}
-		for at := pause.next(); at < length*time.Second; at += pause.next() {
+		for at := pause.Next(); at < length*time.Second; at += pause.Next() {
 			counts[at/(100*time.Millisecond)]++
 		}
 	}
@@ -47,15 +48,15 @@
 
 func TestPausesEndWithSuccess(t *testing.T) {
 	pause := askPauses(choice.Settings{Fleet: 80, AskForList: true})
-	first := pause.next()
+	first := pause.Next()
 	for range 5 {
-		pause.next()
+		pause.Next()
 	}
-	if late := pause.next(); late < 4*first/2 {
+	if late := pause.Next(); late < 4*first/2 {
 		t.Errorf("a pause of %v after %v: it does not grow", late, first)
 	}
-	pause.reset()
-	if again := pause.next(); again > 80*askSpacing {
+	pause.Reset()
+	if again := pause.Next(); again > 80*askSpacing {
 		t.Errorf("the first pause after a success is %v, more than %v", again, 80*askSpacing)
 	}
 }
--- a/internal/node/fellows.go
+++ b/internal/node/fellows.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/admin"
+	"harrierramp/internal/atomicfile"
 	"harrierramp/internal/membership"
 )
 
@@ -83,7 +85,7 @@
 }
 
 // viewAsk asks the loop who is there.
-type viewAsk struct{ reply chan *view }
+type viewAsk struct{ reply chan *admin.View }
 
 // newFellows begins membership under an incarnation that this node never had, or nil where it is off. Each process
 // that comes to own the node is one more incarnation, so that one process after the other reads as a restart.
@@ -132,7 +134,7 @@
 		return
 	}
 	f.kept = f.core.Incarnation()
-	if err := replaceFile(f.path, fmt.Appendln(nil, f.kept)); err != nil {
+	if err := atomicfile.Replace(f.path, fmt.Appendln(nil, f.kept)); err != nil {
 		n.log.Warn("the incarnation is not kept", "err", err)
 	}
 }
@@ -171,27 +173,6 @@
 	return events
 }
 
-// view is what the door shows of the others.
-type view struct {
-	Number      int      `json:"number"`
-	Incarnation uint32   `json:"incarnation"`
-	AgreedMS    *int64   `json:"agreed_ms_ago"` // null: not yet
-	Health      int      `json:"health"`        // 0 is good
-	Present     int      `json:"present"`
-	Suspect     int      `json:"suspect"`
-	Members     []fellow `json:"members"`
-}
-
-type fellow struct {
-	Number      int    `json:"number"`
-	Addr        string `json:"address"`
-	State       string `json:"state"`
-	Reason      string `json:"reason"`
-	Incarnation uint32 `json:"incarnation"`
-	SinceMS     int64  `json:"since_ms"`
-	HeardMS     *int64 `json:"heard_ms_ago"` // null: never
-}
-
 // ago is the time since then in milliseconds, nil for never.
 func ago(now, then time.Duration) *int64 {
 	if then == 0 {
@@ -202,18 +183,18 @@
 }
 
 // view is nil where the fleet's socket could not be opened.
-func (n *Node) view() *view {
+func (n *Node) view() *admin.View {
 	if n.fellows == nil {
 		return nil
 	}
 	core, now := n.fellows.core, n.now()
 	agreed, health := core.Agreed()
-	v := &view{
+	v := &admin.View{
 		Number: n.cfg.Settings.Number, Incarnation: core.Incarnation(), AgreedMS: ago(now, agreed), Health: health,
 	}
 	v.Present, v.Suspect = core.Present()
 	for _, m := range core.View() {
-		v.Members = append(v.Members, fellow{
+		v.Members = append(v.Members, admin.Fellow{
 			Number: m.Member, Addr: n.peers.addrs[m.Member].String(), State: m.State.String(), Reason: string(m.Reason),
 			Incarnation: m.Incarnation, SinceMS: (now - m.Since).Milliseconds(), HeardMS: ago(now, m.Heard),
 		})
--- a/internal/node/fellows_test.go
+++ b/internal/node/fellows_test.go
@@ -12,6 +12,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"harrierramp/internal/admin"
+	"harrierramp/internal/testkit"
 )
 
 // fleetOf are nodes of a test that know each other's addresses.
@@ -97,16 +100,16 @@
 		}
 		shut()
 	})
-	eventually(f.t, "the node serves", n.ready)
+	testkit.Eventually(f.t, "the node serves", n.Ready)
 	f.kill[i] = func() { // the others hear no more of it, nor it of them
 		n.peers.close()
 	}
 }
 
 // view is what a node's door shows.
-func (f *fleetOf) view(i int) (v view) {
+func (f *fleetOf) view(i int) (v admin.View) {
 	f.t.Helper()
-	code, body := operate(f.t, f.doors[i], "GET", "/ops/members")
+	code, body := testkit.Operate(f.t, f.doors[i], "GET", "/ops/members")
 	if code != 200 || json.Unmarshal([]byte(body), &v) != nil {
 		f.t.Fatalf("members: %d %s", code, body)
 	}
@@ -124,7 +127,7 @@
 		f.start(i)
 	}
 	for i := range 4 {
-		eventually(t, "all hear of all, and agree", func() bool {
+		testkit.Eventually(t, "all hear of all, and agree", func() bool {
 			v := f.view(i)
 			for k, m := range v.Members {
 				if m.State != "alive" || m.Incarnation == 0 || m.Addr != f.peers[k] || (k != i && m.HeardMS == nil) {
@@ -136,16 +139,16 @@
 	}
 	f.kill[3]()
 	for i := range 3 {
-		eventually(t, "a silent node is dead", f.holds(i, 3, "dead"))
+		testkit.Eventually(t, "a silent node is dead", f.holds(i, 3, "dead"))
 	}
 	before := f.view(2).Incarnation
 	f.stop[2]()
 	for i := range 2 {
-		eventually(t, "a node that ends has left", f.holds(i, 2, "left"))
+		testkit.Eventually(t, "a node that ends has left", f.holds(i, 2, "left"))
 	}
 	f.start(2)
 	for i := range 2 {
-		eventually(t, "it is back", f.holds(i, 2, "alive"))
+		testkit.Eventually(t, "it is back", f.holds(i, 2, "alive"))
 		if got := f.view(i).Members[2].Incarnation; got <= before {
 			t.Errorf("back under incarnation %d after %d", got, before)
 		}
@@ -157,12 +160,12 @@
 	}
 	f.start(2)
 	for i := range 2 {
-		eventually(t, "it is back without its folder", func() bool {
+		testkit.Eventually(t, "it is back without its folder", func() bool {
 			m := f.view(i).Members[2]
 			return m.State == "alive" && m.Incarnation > before
 		})
 	}
-	code, body := operate(t, f.doors[0], "GET", "/ops/stats")
+	code, body := testkit.Operate(t, f.doors[0], "GET", "/ops/stats")
 	if code != 200 || !strings.Contains(body, "router.members_present:3|g") || !strings.Contains(body, "router.members_strangers:0|c") {
 		t.Errorf("figures: %d %s", code, body)
 	}
@@ -177,11 +180,11 @@
 		t.Fatal(err)
 	}
 	defer stranger.Close()
-	eventually(t, "a stranger is counted", func() bool {
+	testkit.Eventually(t, "a stranger is counted", func() bool {
 		if _, err := stranger.Write([]byte("M")); err != nil {
 			t.Fatal(err)
 		}
-		_, body := operate(t, f.doors[0], "GET", "/ops/stats")
+		_, body := testkit.Operate(t, f.doors[0], "GET", "/ops/stats")
 		return !strings.Contains(body, "router.members_strangers:0|c")
 	})
 }
@@ -189,10 +192,10 @@
 func TestMembershipIsOffUnlessConfigured(t *testing.T) {
 	t.Parallel()
 	_, door, _ := startOperated(t, newRegistry(t), t.TempDir(), held())
-	if code, body := operate(t, door, "GET", "/ops/members"); code != 404 || !strings.Contains(body, "off") {
+	if code, body := testkit.Operate(t, door, "GET", "/ops/members"); code != 404 || !strings.Contains(body, "off") {
 		t.Errorf("members: %d %s", code, body)
 	}
-	if _, body := operate(t, door, "GET", "/ops/stats"); strings.Contains(body, "members_") {
+	if _, body := testkit.Operate(t, door, "GET", "/ops/stats"); strings.Contains(body, "members_") {
 		t.Errorf("figures: %s", body)
 	}
 }
@@ -228,12 +231,12 @@
 	for i := range 3 {
 		f.start(i)
 	}
-	eventually(t, "all hear of all", func() bool { return f.view(1).Members[0].HeardMS != nil })
+	testkit.Eventually(t, "all hear of all", func() bool { return f.view(1).Members[0].HeardMS != nil })
 	stop, before := f.stop[0], f.view(0).Incarnation
 	f.start(0) // beside the other, on its folder
 	stop()
 	for i := 1; i < 3; i++ {
-		eventually(t, "the new process is known", func() bool {
+		testkit.Eventually(t, "the new process is known", func() bool {
 			m := f.view(i).Members[0]
 			if m.State == "dead" || m.State == "left" {
 				t.Errorf("it is held for %s", m.State)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -11,37 +11,44 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/admin"
+	"harrierramp/internal/egress"
+	"harrierramp/internal/handover"
+	"harrierramp/internal/ingress"
+	"harrierramp/internal/journal"
+	"harrierramp/internal/listwatch"
+	"harrierramp/internal/outbox"
 )
 
 // handOver gives the node to a successor, between two steps of the loop. It tells whether that owns it now; if not,
 // nothing has changed.
-func (n *Node) handOver(l *link) bool {
-	err := n.journal.flush()
+func (n *Node) handOver(l *handover.Link) bool {
+	err := n.journal.Flush()
 	if err == nil && (len(n.acts) > 0 || n.remote > 0) {
 		err = errors.New("not at rest") // acts that wait for the journal, or calls of a process before this one
 	}
-	var state *carriedNode
+	var state *handover.State
 	if err == nil {
 		state, err = n.carry()
 	}
 	if err == nil {
-		err = l.send(frame{State: state}, int(n.lock.Fd()))
+		err = l.Send(handover.Frame{State: state}, int(n.lock.Fd()))
 	}
 	if err != nil {
-		n.log.Error("not handed over", "err", errors.Join(err, l.close()))
+		n.log.Error("not handed over", "err", errors.Join(err, l.Close()))
 		return false
 	}
 	// What is out there goes on; what has not been written is the successor's to send.
-	n.pool.close()
+	n.pool.Close()
 	return true
 }
 
-func (n *Node) carry() (*carriedNode, error) {
+func (n *Node) carry() (*handover.State, error) {
 	sender, err := n.sender.Carry()
 	if err != nil {
 		return nil, err
 	}
-	state := &carriedNode{
+	state := &handover.State{
 		Clock: n.now(), At: time.Now().UnixNano(), Sender: sender, Revision: n.revision,
 		Dests: slices.Sorted(maps.Keys(n.dests)), Named: slices.Sorted(maps.Keys(n.named)),
 	}
@@ -49,7 +56,7 @@
 		state.Members = append(state.Members, n.members[id])
 	}
 	for a := range n.out {
-		state.Out = append(state.Out, callName{a.id, a.n})
+		state.Out = append(state.Out, handover.CallName{ID: a.id, N: a.n})
 	}
 	return state, nil
 }
@@ -57,36 +64,36 @@
 // begin takes the node's state into this process: from the journal, from what a predecessor has handed over, and
 // from what this process has known since it owned the node itself. Calls that have ended since then are
 // unheard. It returns the module's first events.
-func (n *Node) begin(c claim, unheard []called) ([]choice.Event, error) {
+func (n *Node) begin(c handover.Claim, unheard []called) ([]choice.Event, error) {
 	var err error
-	if n.journal, err = openJournal(n.cfg.State, n.cfg.journalMB()); err != nil {
+	if n.journal, err = journal.Open(n.cfg.State, n.cfg.journalMB()); err != nil {
 		return nil, err
 	}
 	before := n.orders
-	if n.orders, err = readOrders(n.cfg.State); err == nil && !c.upgrade {
+	if n.orders, err = readOrders(n.cfg.State); err == nil && !c.Upgrade {
 		err = n.orders.setDrained(false) // a drain is the running node's: it ends with a restart
 	}
 	if err != nil {
-		return nil, errors.Join(err, n.journal.close())
+		return nil, errors.Join(err, n.journal.Close())
 	}
 	known := n.cfg.Known
 	if n.kept = n.cfg.keptList(); n.kept != nil {
-		if last, err := n.kept.read(); err != nil {
+		if last, err := n.kept.Read(); err != nil {
 			n.log.Warn("the list that was kept can't be used", "err", err)
 		} else if last.Revision > known.Revision {
 			known = last
 		}
 	}
 	if n.members != nil {
-		known = list{Revision: n.revision, Members: slices.Collect(maps.Values(n.members))}
+		known = listwatch.List{Revision: n.revision, Members: slices.Collect(maps.Values(n.members))}
 	}
-	if s := c.state; s != nil {
+	if s := c.State; s != nil {
 		if n.sender, err = choice.Carried(n.cfg.Settings, seed(n.cfg.Seed), s.Sender); err != nil {
-			return nil, errors.Join(err, n.journal.close()) // the predecessor goes on
+			return nil, errors.Join(err, n.journal.Close()) // the predecessor goes on
 		}
-		n.start = time.Now().Add(-(s.Clock - epoch) - min(max(time.Since(time.Unix(0, s.At)), 0), askTimeout))
+		n.start = time.Now().Add(-(s.Clock - epoch) - min(max(time.Since(time.Unix(0, s.At)), 0), handover.AskTimeout))
 		n.wakeAt = n.sender.WakeAt()
-		known = list{Revision: s.Revision, Members: s.Members}
+		known = listwatch.List{Revision: s.Revision, Members: s.Members}
 		for _, d := range s.Dests {
 			n.dests[d] = true
 		}
@@ -96,7 +103,7 @@
 	}
 	known.Complete = true
 	n.pool = n.newPool()
-	n.messages, n.owed, n.acts, n.held = map[string]*past{}, nil, nil, 0
+	n.messages, n.owed, n.acts, n.held = map[string]*journal.Message{}, nil, nil, 0
 	clear(n.eps)
 	events := []choice.Event{n.listed(known)}
 	for _, id := range slices.Sorted(maps.Keys(n.orders.out)) {
@@ -113,12 +120,11 @@
 }
 
 // replayed makes the events of what the journal says is still owed, in the order in which it was taken on.
-func (n *Node) replayed(c claim, unheard []called) (events []choice.Event) {
-	for _, seq := range slices.Sorted(maps.Keys(n.journal.live)) {
-		p := n.journal.live[seq]
-		n.messages[p.id] = p
-		if p.ended != nil {
-			n.owed = append(n.owed, newNotice(p))
+func (n *Node) replayed(c handover.Claim, unheard []called) (events []choice.Event) {
+	for _, p := range n.journal.Owed() {
+		n.messages[p.ID] = p
+		if p.Ended != nil {
+			n.owed = append(n.owed, outbox.NewNotice(p))
 		} else {
 			n.held++
 		}
@@ -128,11 +134,11 @@
 		events = append(events, n.called(e))
 	}
 	carried := map[string]bool{}
-	if c.state != nil {
-		for _, name := range c.state.Out {
+	if c.State != nil {
+		for _, name := range c.State.Out {
 			a := attempt{name.ID, name.N}
 			n.out[a] = outCall{m: n.pastOf(a.id), cancel: func() {
-				if err := c.from.send(frame{Cancel: &name}, -1); err != nil {
+				if err := c.From.Send(handover.Frame{Cancel: &name}, -1); err != nil {
 					n.log.Debug("call not called off", "id", name.ID, "err", err)
 				}
 			}}
@@ -141,15 +147,15 @@
 	}
 	for _, id := range n.sender.Held() {
 		// One that this process knew when it handed over may have met its end meanwhile: the journal tells.
-		if p := n.messages[id]; c.state != nil && p != nil && p.ended == nil {
+		if p := n.messages[id]; c.State != nil && p != nil && p.Ended == nil {
 			carried[id] = true
 		} else {
 			events = append(events, choice.Dropped{ID: id})
 		}
 	}
 	resumed := 0
-	for _, seq := range slices.Sorted(maps.Keys(n.journal.live)) {
-		if p := n.journal.live[seq]; p.ended == nil && !carried[p.id] {
+	for _, p := range n.journal.Owed() {
+		if p.Ended == nil && !carried[p.ID] {
 			events = append(events, n.resumed(p))
 			resumed++
 		}
@@ -161,21 +167,21 @@
 }
 
 // pastOf is what the journal knows of a message, or an empty past of one that is over but whose call is out.
-func (n *Node) pastOf(id string) *past {
+func (n *Node) pastOf(id string) *journal.Message {
 	if p := n.messages[id]; p != nil {
 		return p
 	}
-	return &past{id: id, tenant: -1, class: -1, ended: &ending{}}
+	return &journal.Message{ID: id, Tenant: -1, Class: -1, Ended: &journal.Ending{}}
 }
 
 // orphaned says that the predecessor is gone, and its calls with it.
 type orphaned struct{}
 
 // predecessor takes what the old process sends until it has gone.
-func (n *Node) predecessor(ctx context.Context, l *link) {
+func (n *Node) predecessor(ctx context.Context, l *handover.Link) {
 	defer n.tell(ctx, orphaned{})
 	for {
-		f, file, err := l.receive()
+		f, file, err := l.Receive()
 		if err != nil {
 			n.log.Info("the predecessor is gone", "err", err)
 			return
@@ -187,23 +193,23 @@
 				n.log.Error("a client's connection can't be taken over", "err", err)
 				break
 			}
-			n.clients.adopt(nc, *f.Client)
+			n.clients.Adopt(nc, *f.Client)
 		case f.Ended != nil:
 			n.tell(ctx, *f.Ended)
 		case f.Order != nil:
 			o := order{endpoint: f.Order.Endpoint, on: f.Order.On, done: make(chan error, 1)}
 			n.tell(ctx, o)
 			go func() { // ends with the order, or with the node
-				done := orderDone{Number: f.Order.Number}
+				done := handover.OrderDone{Number: f.Order.Number}
 				select {
 				case err := <-o.done:
-					if done.Unknown = errors.Is(err, errUnknownEndpoint); err != nil {
+					if done.Unknown = errors.Is(err, admin.ErrUnknownEndpoint); err != nil {
 						done.No = err.Error()
 					}
 				case <-ctx.Done():
-					done.No = errNotServing.Error()
+					done.No = admin.ErrNotServing.Error()
 				}
-				if err := l.send(frame{Done: &done}, -1); err != nil {
+				if err := l.Send(handover.Frame{Done: &done}, -1); err != nil {
 					n.log.Debug("answer to an order not passed on", "err", err)
 				}
 			}()
@@ -215,13 +221,13 @@
 }
 
 // remoteEnded turns the outcome of a predecessor's call into one of ours.
-func (n *Node) remoteEnded(e endedCall) called {
+func (n *Node) remoteEnded(e handover.EndedCall) called {
 	at := n.eps[e.Endpoint]
 	if at == nil {
-		at = &endpoint{id: e.Endpoint, wait: new(atomic.Int64)}
+		at = &egress.Endpoint{ID: e.Endpoint, Wait: new(atomic.Int64)}
 	}
-	return called{attempt{e.ID, e.N}, at, result{
-		outcome: e.Outcome, wait: e.Wait, noSlot: e.NoSlot, closed: e.Closed, reused: e.Reused, report: e.Report,
+	return called{attempt{e.ID, e.N}, at, egress.Result{
+		Outcome: e.Outcome, Wait: e.Wait, NoSlot: e.NoSlot, Closed: e.Closed, Reused: e.Reused, Report: e.Report,
 	}, e.Took}
 }
 
@@ -229,14 +235,14 @@
 func (n *Node) orphans() (events []choice.Event) {
 	for a, o := range n.out {
 		if o.endpoint == nil {
-			events = append(events, n.called(n.remoteEnded(endedCall{callName: callName{a.id, a.n}, Outcome: choice.Cut})))
+			events = append(events, n.called(n.remoteEnded(handover.EndedCall{CallName: handover.CallName{ID: a.id, N: a.n}, Outcome: choice.Cut})))
 		}
 	}
 	return events
 }
 
 // moveClient passes a client's connection on.
-func moveClient(l *link, nc net.Conn, m movedClient) error {
+func moveClient(l *handover.Link, nc net.Conn, m ingress.Moved) error {
 	tcp, ok := nc.(*net.TCPConn)
 	if !ok {
 		return fmt.Errorf("handover: a connection of type %T", nc)
@@ -247,7 +253,7 @@
 	}
 	// Not by File, whose descriptor would come out of the last ones that are free.
 	var sent error
-	if err := raw.Control(func(fd uintptr) { sent = l.send(frame{Client: &m}, int(fd)) }); err != nil {
+	if err := raw.Control(func(fd uintptr) { sent = l.Send(handover.Frame{Client: &m}, int(fd)) }); err != nil {
 		return err
 	}
 	return sent
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,15 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/admin"
+	"harrierramp/internal/backoff"
+	"harrierramp/internal/egress"
+	"harrierramp/internal/handover"
+	"harrierramp/internal/ingress"
+	"harrierramp/internal/journal"
+	"harrierramp/internal/listwatch"
+	"harrierramp/internal/metrics"
+	"harrierramp/internal/outbox"
 )
 
 const (
@@ -22,7 +31,7 @@
 	epoch      = 48 * time.Hour
 	maxBatch   = 256 // events in one Step
 	eventQueue = 1024
-	setAside   = 2*doorPlaces + 16 // descriptors that neither clients nor calls may take
+	setAside   = 2*admin.DoorPlaces + 16 // descriptors that neither clients nor calls may take
 	// After SIGTERM clients go on coming for 0.4 s, and SIGKILL comes after 3.7 s. Until holdAfter all goes on
 	// as ever; then the module is told to send nothing new, and what is out has until leaveAfter to end. All the
 	// while messages are taken on: the journal has them for the next start.
@@ -38,8 +47,8 @@
 
 // outCall is a call that is out.
 type outCall struct {
-	m        *past
-	endpoint *endpoint // nil for a call of the process that has handed over to this one
+	m        *journal.Message
+	endpoint *egress.Endpoint // nil for a call of the process that has handed over to this one
 	cancel   context.CancelFunc
 }
 
@@ -48,52 +57,52 @@
 	cfg       Config
 	log       *slog.Logger
 	sender    *choice.Sender
-	journal   *journal
-	pool      *pool
+	journal   *journal.Journal
+	pool      *egress.Pool
 	client    *http.Client
-	discovery *discovery // shared
-	peers     *peers     // nil if the fleet has no datagrams
-	fellows   *fellows   // nil without membership
-	lock      *os.File   // this process owns the node while it has it
+	discovery *listwatch.Addresses // shared
+	peers     *peers               // nil if the fleet has no datagrams
+	fellows   *fellows             // nil without membership
+	lock      *os.File             // this process owns the node while it has it
 	orders    *orders
-	clients   *clients    // shared
-	figures   *figures    // shared
-	serving   atomic.Bool // shared: the loop runs
-	passing   atomic.Bool // shared: a successor owns the node
+	clients   *ingress.Server // shared
+	figures   *metrics.Set    // shared
+	serving   atomic.Bool     // shared: the loop runs
+	passing   atomic.Bool     // shared: a successor owns the node
 	start     time.Time
 	events    chan any
-	notices   chan []notice
-	asks      chan *link       // of processes that want to own the node
-	messages  map[string]*past // all in the journal, by id
+	notices   chan []outbox.Notice
+	asks      chan *handover.Link         // of processes that want to own the node
+	messages  map[string]*journal.Message // all in the journal, by id
 	out       map[attempt]outCall
 	remote    int // of those, calls of the process that has handed over
-	eps       map[string]*endpoint
-	members   map[string]member     // the list as it is known
-	revision  int64                 // of it
-	kept      *keptList             // of the last good list; nil if it is not kept
-	waits     map[int]*atomic.Int64 // of destinations whose endpoints share them
-	owed      []notice              // not yet handed to the reporter
-	named     map[string]bool       // endpoints that a list has ever named
-	dests     map[int]bool          // all that a list has ever named
-	held      int                   // messages without their final answer
-	acts      []func()              // what the records that are not yet written guard, in order
-	wakeAt    time.Duration         // of the module; 0 none
+	eps       map[string]*egress.Endpoint
+	members   map[string]listwatch.Member // the list as it is known
+	revision  int64                       // of it
+	kept      *listwatch.Kept             // of the last good list; nil if it is not kept
+	waits     map[int]*atomic.Int64       // of destinations whose endpoints share them
+	owed      []outbox.Notice             // not yet handed to the reporter
+	named     map[string]bool             // endpoints that a list has ever named
+	dests     map[int]bool                // all that a list has ever named
+	held      int                         // messages without their final answer
+	acts      []func()                    // what the records that are not yet written guard, in order
+	wakeAt    time.Duration               // of the module; 0 none
 	calls     sync.WaitGroup
 }
 
 // Events of the loop.
 type (
 	arrival struct {
-		request
-		reply chan answer
+		ingress.Request
+		reply chan ingress.Answer
 	}
 	called struct {
 		attempt
-		endpoint *endpoint
-		result
+		endpoint *egress.Endpoint
+		egress.Result
 		took time.Duration
 	}
-	settled []notice
+	settled []outbox.Notice
 
 	// order is what operators tell the node. done gets nil once it holds, or why it does not.
 	order struct {
@@ -107,20 +116,20 @@
 func New(cfg Config, log *slog.Logger) *Node {
 	n := &Node{
 		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
-		figures:   newFigures(cfg.Names.Classes),
+		figures:   metrics.New(cfg.Names.Classes),
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
-		discovery: newDiscovery(cfg.discoveryAt()),
-		events:    make(chan any, eventQueue), notices: make(chan []notice), asks: make(chan *link),
-		messages: map[string]*past{}, out: map[attempt]outCall{}, eps: map[string]*endpoint{},
+		discovery: listwatch.NewAddresses(cfg.discoveryAt()),
+		events:    make(chan any, eventQueue), notices: make(chan []outbox.Notice), asks: make(chan *handover.Link),
+		messages: map[string]*journal.Message{}, out: map[attempt]outCall{}, eps: map[string]*egress.Endpoint{},
 		waits: map[int]*atomic.Int64{}, dests: map[int]bool{}, named: map[string]bool{},
 	}
-	n.figures.ownList, n.figures.fellows = cfg.Registry != nil, cfg.Membership != nil
+	n.figures.OwnList, n.figures.Fellows = cfg.Registry != nil, cfg.Membership != nil
 	return n
 }
 
-func (n *Node) newPool() *pool {
+func (n *Node) newPool() *egress.Pool {
 	s, most := n.cfg.Settings, n.cfg.Limits.Sockets
-	return newPool(s.DialTimeout, s.ConnIdle, max(most/4, 8), callPlaces(most), &n.figures.tries)
+	return egress.NewPool(s.DialTimeout, s.ConnIdle, max(most/4, 8), callPlaces(most), &n.figures.Tries)
 }
 
 // callPlaces is how many descriptors calls may take: clients have a third, and the rest is set aside for the door,
@@ -150,9 +159,9 @@
 	// The parts outlive ctx by the time that it takes to leave.
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
-	n.clients = newClients(ln, n.cfg.Limits.Sockets/3, n.cfg.Names, func(q request) answer { return n.hand(life, q) })
-	n.clients.pause()
-	parts.Go(func() { n.clients.serve(life) })
+	n.clients = ingress.NewServer(ln, n.cfg.Limits.Sockets/3, n.cfg.Names, func(q ingress.Request) ingress.Answer { return n.hand(life, q) })
+	n.clients.Pause()
+	parts.Go(func() { n.clients.Serve(life) })
 	gone := make(chan struct{})
 	parts.Go(func() {
 		defer close(gone)
@@ -160,17 +169,17 @@
 		case <-ctx.Done():
 		case <-life.Done():
 		}
-		sleep(life, holdAfter)
+		backoff.Sleep(life, holdAfter)
 		n.tell(life, choice.Leaving{})
-		sleep(life, leaveAfter-holdAfter)
-		n.clients.close() // those inside a request get their answers from the loop, which still runs
+		backoff.Sleep(life, leaveAfter-holdAfter)
+		n.clients.Close() // those inside a request get their answers from the loop, which still runs
 	})
 	defer parts.Wait()
 	defer cancel()
 
 	var unheard []called
 	for ask := true; ; ask = false {
-		c, err := claimNode(ctx, n.cfg.State, ask)
+		c, err := handover.Acquire(ctx, n.cfg.State, ask)
 		if ctx.Err() != nil && err != nil {
 			return nil // a stand-by, or one that never came to serve
 		}
@@ -182,7 +191,7 @@
 			return err
 		}
 		n.log.Info("handed over", "out", len(n.out))
-		n.clients.move(func(nc net.Conn, m movedClient) error { return moveClient(successor, nc, m) })
+		n.clients.Move(func(nc net.Conn, m ingress.Moved) error { return moveClient(successor, nc, m) })
 		n.passing.Store(true)
 		var left bool
 		unheard, left = n.relay(ctx, successor, gone)
@@ -195,13 +204,13 @@
 }
 
 // own serves with the claim until the process may end, or until a successor owns the node.
-func (n *Node) own(life context.Context, c claim, unheard []called, gone <-chan struct{}) (successor *link, err error) {
-	defer func() { err = errors.Join(err, c.lock.Close()) }() // a successor holds it by a descriptor of its own
-	n.lock = c.lock
+func (n *Node) own(life context.Context, c handover.Claim, unheard []called, gone <-chan struct{}) (successor *handover.Link, err error) {
+	defer func() { err = errors.Join(err, c.Lock.Close()) }() // a successor holds it by a descriptor of its own
+	n.lock = c.Lock
 	events, err := n.begin(c, unheard)
 	if err != nil {
-		if c.from != nil {
-			c.from.close()
+		if c.From != nil {
+			c.From.Close()
 		}
 		return nil, err
 	}
@@ -210,39 +219,39 @@
 	defer parts.Wait()
 	defer end()
 	n.step(life, events, nil)
-	follow, after := n.newWatcher(func(l list) { n.tell(term, l) }), n.revision
-	parts.Go(func() { follow.run(term, after) })
+	follow, after := n.newWatcher(func(l listwatch.List) { n.tell(term, l) }), n.revision
+	parts.Go(func() { follow.Run(term, after) })
 	parts.Go(func() {
-		report(term, n.log, n.client, n.discovery, n.notices, func(b []notice) { n.tell(term, settled(b)) })
+		outbox.Run(term, n.log, n.client, n.discovery, n.notices, func(b []outbox.Notice) { n.tell(term, settled(b)) })
 	})
-	if ln, err := listenForSuccessor(n.cfg.State); err != nil {
+	if ln, err := handover.Listen(n.cfg.State); err != nil {
 		n.log.Error("no successor can take over from this process", "err", err)
 	} else {
 		parts.Go(func() { n.successors(term, ln) })
 		defer ln.Close()
 	}
-	if c.from != nil {
-		parts.Go(func() { n.predecessor(term, c.from) })
-		defer c.from.close()
+	if c.From != nil {
+		parts.Go(func() { n.predecessor(term, c.From) })
+		defer c.From.Close()
 	}
 	if n.peers, err = listenToPeers(term, n.cfg); err != nil {
 		n.log.Error("no notes to or from other nodes", "err", err)
 	}
 	if n.fellows = n.newFellows(); n.peers != nil {
-		parts.Go(func() { n.peers.receive(term, n.log, &n.figures.strangers, n.noted) })
+		parts.Go(func() { n.peers.receive(term, n.log, &n.figures.Strangers, n.noted) })
 		defer n.peers.close()
 	}
-	n.clients.drain(n.orders.drained)
-	n.clients.resume()
+	n.clients.Drain(n.orders.drained)
+	n.clients.Resume()
 	n.serving.Store(true)
 	successor = n.loop(life, gone)
 	n.serving.Store(false)
 	if successor != nil {
-		n.clients.pause()
+		n.clients.Pause()
 		n.held = 0 // the successor's figure now
 		n.publish()
 		n.client.CloseIdleConnections()
-		return successor, n.journal.close()
+		return successor, n.journal.Close()
 	}
 
 	for _, o := range n.out {
@@ -253,22 +262,22 @@
 	}
 	end()
 	n.calls.Wait()
-	n.pool.close()
+	n.pool.Close()
 	n.client.CloseIdleConnections()
-	return nil, n.journal.close()
+	return nil, n.journal.Close()
 }
 
 // Reload takes from a configuration that has replaced the old one what may change while the node runs: the
 // address of discovery. It may be called at any time, from any goroutine.
-func (n *Node) Reload(cfg Config) { n.discovery.move(cfg.discoveryAt()) }
+func (n *Node) Reload(cfg Config) { n.discovery.Move(cfg.discoveryAt()) }
 
 // resumed tells the module of a message's past. An attempt that is not proven not to have run may have.
-func (n *Node) resumed(p *past) choice.Resumed {
-	r := choice.Resumed{Arrived: n.arrived(p, p.deadline), Attempts: len(p.sends)}
-	for _, s := range p.sends {
-		r.Failed = r.Failed || s.failed
-		if !s.notRun && !r.Touched {
-			r.Touched, r.MayRun, r.Zone = true, n.at(s.at), s.zone
+func (n *Node) resumed(p *journal.Message) choice.Resumed {
+	r := choice.Resumed{Arrived: n.arrived(p, p.Deadline), Attempts: len(p.Sends)}
+	for _, s := range p.Sends {
+		r.Failed = r.Failed || s.Failed
+		if !s.NotRun && !r.Touched {
+			r.Touched, r.MayRun, r.Zone = true, n.at(s.At), s.Zone
 		}
 	}
 	return r
@@ -276,8 +285,8 @@
 
 // arrived is the module's event of a message. A deadline that has not been through the journal is on the
 // monotonic clock, so that a step of the wall clock does not move it.
-func (n *Node) arrived(p *past, deadline time.Time) choice.Arrived {
-	return choice.Arrived{ID: p.id, Class: p.class, Tenant: p.tenant, Dest: p.dest, Key: p.key, DropDead: n.at(deadline)}
+func (n *Node) arrived(p *journal.Message, deadline time.Time) choice.Arrived {
+	return choice.Arrived{ID: p.ID, Class: p.Class, Tenant: p.Tenant, Dest: p.Dest, Key: p.Key, DropDead: n.at(deadline)}
 }
 
 // tell hands the loop an event.
@@ -299,19 +308,19 @@
 }
 
 // hand hands in a client's request and waits for the answer.
-func (n *Node) hand(ctx context.Context, q request) answer {
-	a := arrival{request: q, reply: make(chan answer, 1)}
+func (n *Node) hand(ctx context.Context, q ingress.Request) ingress.Answer {
+	a := arrival{Request: q, reply: make(chan ingress.Answer, 1)}
 	n.tell(ctx, a)
 	select {
 	case r := <-a.reply:
 		return r
 	case <-ctx.Done():
-		return answer{refused: true} // the loop has ended and did not take it on
+		return ingress.Answer{Refused: true} // the loop has ended and did not take it on
 	}
 }
 
 // loop batches what has come and steps through it, until the node has left or a successor owns it.
-func (n *Node) loop(ctx context.Context, gone <-chan struct{}) (successor *link) {
+func (n *Node) loop(ctx context.Context, gone <-chan struct{}) (successor *handover.Link) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -354,11 +363,11 @@
 	if n.wakeAt > 0 {
 		wait = max(n.wakeAt-n.now(), 0)
 	}
-	if n.journal.broken {
-		wait = min(wait, compactPause)
+	if n.journal.Down() {
+		wait = min(wait, journal.CompactPause)
 	}
 	if n.kept != nil {
-		wait = min(wait, n.kept.wait(time.Now()))
+		wait = min(wait, n.kept.Wait(time.Now()))
 	}
 	return min(wait, n.fellows.wait(n.now()))
 }
@@ -369,17 +378,17 @@
 	fresh := map[string]arrival{}
 	for _, e := range batch {
 		switch e := e.(type) {
-		case list:
+		case listwatch.List:
 			events = append(events, n.listed(e))
 		case called:
 			events = append(events, n.called(e))
-		case endedCall:
+		case handover.EndedCall:
 			events = append(events, n.called(n.remoteEnded(e)))
 		case orphaned:
 			events = append(events, n.orphans()...)
 		case settled:
 			for _, s := range e {
-				n.forget(s.of)
+				n.forget(s.Of)
 			}
 		case choice.Told:
 			events = append(events, e)
@@ -404,22 +413,22 @@
 				e.reply <- refusal
 				continue
 			}
-			fresh[e.id] = e
-			events = append(events, n.arrived(n.messages[e.id], e.came.Add(e.life)))
+			fresh[e.ID] = e
+			events = append(events, n.arrived(n.messages[e.ID], e.Came.Add(e.Life)))
 		}
 	}
 	events = append(events, n.meet()...)
 	// What the module is about to be told of, and the clients with it, rests on these records.
-	if err := n.journal.flush(); err != nil && len(fresh) > 0 {
+	if err := n.journal.Flush(); err != nil && len(fresh) > 0 {
 		n.log.Error("messages turned away", "err", err)
 		events = slices.DeleteFunc(events, func(e choice.Event) bool {
 			_, isNew := e.(choice.Arrived)
 			return isNew
 		})
 		for id, a := range fresh {
-			n.figures.shed(a.class)
+			n.figures.Shed(a.Class)
 			n.forget(n.messages[id])
-			a.reply <- answer{refused: true}
+			a.reply <- ingress.Answer{Refused: true}
 		}
 		fresh = nil
 	}
@@ -431,28 +440,28 @@
 }
 
 // accept journals a new message, or tells what to answer in place of asking the module.
-func (n *Node) accept(a arrival) (answer, bool) {
+func (n *Node) accept(a arrival) (ingress.Answer, bool) {
 	switch {
-	case n.messages[a.id] != nil:
-		return answer{}, false // taken on before: handed in again it has no second effect
-	case !n.dests[a.dest]:
-		n.figures.failed(a.class)
-		return answer{failed: "unknown destination"}, false
+	case n.messages[a.ID] != nil:
+		return ingress.Answer{}, false // taken on before: handed in again it has no second effect
+	case !n.dests[a.Dest]:
+		n.figures.Failed(a.Class)
+		return ingress.Answer{Failed: "unknown destination"}, false
 	case n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
-		n.figures.shed(a.class)
-		return answer{refused: true}, false
+		n.figures.Shed(a.Class)
+		return ingress.Answer{Refused: true}, false
 	}
-	p := &past{
-		id: a.id, key: a.key, class: a.class, tenant: a.tenant, dest: a.dest, body: a.body, deadline: a.came.Add(a.life),
+	p := &journal.Message{
+		ID: a.ID, Key: a.Key, Class: a.Class, Tenant: a.Tenant, Dest: a.Dest, Body: a.Body, Deadline: a.Came.Add(a.Life),
 	}
-	p, err := n.journal.accept(p)
+	p, err := n.journal.Accept(p)
 	if err != nil {
-		n.figures.shed(a.class)
-		return answer{refused: true}, false
+		n.figures.Shed(a.Class)
+		return ingress.Answer{Refused: true}, false
 	}
-	n.messages[p.id] = p
+	n.messages[p.ID] = p
 	n.held++
-	return answer{}, true
+	return ingress.Answer{}, true
 }
 
 // obey carries out what operators have told. The yes follows once the module has heard of it.
@@ -461,13 +470,13 @@
 	if o.endpoint == "" {
 		err := n.orders.setDrained(o.on)
 		if err == nil {
-			n.clients.drain(o.on)
+			n.clients.Drain(o.on)
 		}
 		done(err)
 		return nil
 	}
 	if !n.named[o.endpoint] && !n.orders.out[o.endpoint] {
-		done(errUnknownEndpoint)
+		done(admin.ErrUnknownEndpoint)
 		return nil
 	}
 	if err := n.orders.setOut(o.endpoint, o.on); err != nil {
@@ -475,38 +484,38 @@
 		return nil
 	}
 	if e := n.eps[o.endpoint]; e != nil {
-		e.out.Store(o.on)
+		e.Out.Store(o.on)
 	}
 	done(nil)
 	if !o.on {
 		return choice.Enabled{Endpoint: o.endpoint}
 	}
-	n.pool.hangUp(o.endpoint) // it is about to be restarted
+	n.pool.HangUp(o.endpoint) // it is about to be restarted
 	return choice.Disabled{Endpoint: o.endpoint}
 }
 
 // forget ends all that the node has of a message.
-func (n *Node) forget(p *past) {
-	if n.messages[p.id] != p {
+func (n *Node) forget(p *journal.Message) {
+	if n.messages[p.ID] != p {
 		return
 	}
-	if p.ended == nil {
+	if p.Ended == nil {
 		n.held--
 	}
-	delete(n.messages, p.id)
-	n.journal.add(record(recOver, p.seq))
+	delete(n.messages, p.ID)
+	n.journal.Over(p)
 }
 
 // listed brings the endpoints up to date. Calls that have not written their first byte hear of it by shut.
-func (n *Node) listed(l list) choice.Listed {
+func (n *Node) listed(l listwatch.List) choice.Listed {
 	if n.kept != nil {
-		n.kept.changed(l.Revision)
+		n.kept.Changed(l.Revision)
 	}
 	if n.revision = l.Revision; l.Complete || n.members == nil {
-		n.members = map[string]member{}
+		n.members = map[string]listwatch.Member{}
 	}
-	l.Members = slices.DeleteFunc(l.Members, func(m member) bool { return m.ID == "" })
-	entries := l.entries(n.cfg.Names)
+	l.Members = slices.DeleteFunc(l.Members, func(m listwatch.Member) bool { return m.ID == "" })
+	entries := entries(l, n.cfg.Names)
 	named := map[string]bool{}
 	for i, m := range l.Members {
 		named[m.ID] = true
@@ -520,10 +529,10 @@
 			n.shut(e)
 			continue
 		}
-		if e == nil || e.addr != m.Addr {
+		if e == nil || e.Addr != m.Addr {
 			n.shut(e)
-			e = &endpoint{id: m.ID, addr: m.Addr, zone: entries[i].Zone, wait: n.waitOf(entries[i])}
-			e.out.Store(n.orders.out[m.ID])
+			e = &egress.Endpoint{ID: m.ID, Addr: m.Addr, Zone: entries[i].Zone, Wait: n.waitOf(entries[i])}
+			e.Out.Store(n.orders.out[m.ID])
 			n.eps[m.ID] = e
 		}
 	}
@@ -535,11 +544,11 @@
 	return choice.Listed{Whole: l.Complete, Entries: entries}
 }
 
-func (n *Node) shut(e *endpoint) {
+func (n *Node) shut(e *egress.Endpoint) {
 	if e != nil {
-		e.shut.Store(true)
-		delete(n.eps, e.id)
-		n.pool.hangUp(e.id)
+		e.Shut.Store(true)
+		delete(n.eps, e.ID)
+		n.pool.HangUp(e.ID)
 	}
 }
 
@@ -564,28 +573,28 @@
 	if delete(n.out, e.attempt); o.endpoint == nil {
 		n.remote--
 	}
-	switch e.outcome {
+	switch e.Outcome {
 	case choice.Pass:
 	case choice.NoRoom, choice.NoRoute, choice.Stale:
-		n.journal.add(outcomeRecord(recNotRun, m.seq, e.n))
+		n.journal.NotRun(m, e.n)
 	default:
-		n.journal.add(outcomeRecord(recFailed, m.seq, e.n))
+		n.journal.Failed(m, e.n)
 	}
-	if e.closed && m.ended == nil {
-		if e.outcome == choice.Pass {
-			n.figures.delivered(m.class)
+	if e.Closed && m.Ended == nil {
+		if e.Outcome == choice.Pass {
+			n.figures.Delivered(m.Class)
 		} else { // withdrawn or out of time, the endpoint says
-			n.figures.failed(m.class)
+			n.figures.Failed(m.Class)
 		}
 		n.forget(m)
 	}
-	if e.wait > 0 {
-		until := time.Now().Add(e.wait).UnixNano()
-		e.endpoint.wait.Store(max(until, e.endpoint.wait.Load()))
+	if e.Wait > 0 {
+		until := time.Now().Add(e.Wait).UnixNano()
+		e.endpoint.Wait.Store(max(until, e.endpoint.Wait.Load()))
 	}
 	return choice.Ended{
-		ID: e.id, Attempt: e.n, Endpoint: e.endpoint.id, Outcome: e.outcome, Took: e.took, Closed: e.closed,
-		Wait: e.wait, NoSlot: e.noSlot, Reused: e.reused, Report: e.report,
+		ID: e.id, Attempt: e.n, Endpoint: e.endpoint.ID, Outcome: e.Outcome, Took: e.took, Closed: e.Closed,
+		Wait: e.Wait, NoSlot: e.NoSlot, Reused: e.Reused, Report: e.Report,
 	}
 }
 
@@ -597,9 +606,9 @@
 		case choice.Send:
 			n.send(ctx, a)
 		case choice.PushBack:
-			n.end(a.ID, ending{after: a.RetryAfter}, fresh)
+			n.end(a.ID, journal.Ending{After: a.RetryAfter}, fresh)
 		case choice.Fail:
-			n.end(a.ID, ending{failed: true}, fresh)
+			n.end(a.ID, journal.Ending{Failed: true}, fresh)
 		case choice.Cancel:
 			n.acts = append(n.acts, func() {
 				if c, ok := n.out[attempt{a.ID, a.Attempt}]; ok {
@@ -609,7 +618,7 @@
 		case choice.Tell:
 			n.peers.send(a, n.log)
 		case choice.HangUp:
-			n.pool.hangUp(a.Endpoint)
+			n.pool.HangUp(a.Endpoint)
 		case choice.Wake:
 			if n.wakeAt == 0 || a.At < n.wakeAt {
 				n.wakeAt = a.At
@@ -621,9 +630,9 @@
 	n.publish()
 	n.keepList()
 	for _, a := range fresh { // not refused, so taken on
-		n.acts = append(n.acts, func() { a.reply <- answer{} })
+		n.acts = append(n.acts, func() { a.reply <- ingress.Answer{} })
 	}
-	if err := n.journal.flush(); err != nil {
+	if err := n.journal.Flush(); err != nil {
 		n.log.Error("waiting for the journal", "acts", len(n.acts), "err", err)
 		return
 	}
@@ -636,39 +645,39 @@
 // publish brings the gauges up to date for readers that must not wait for the loop.
 func (n *Node) publish() {
 	size, avoided := n.sender.Pool()
-	n.figures.active.Store(int64(n.held))
-	n.figures.listRevision.Store(n.revision)
+	n.figures.Active.Store(int64(n.held))
+	n.figures.ListRevision.Store(n.revision)
 	if n.fellows != nil {
-		n.figures.publishFellows(n.fellows.core, n.now())
+		n.figures.PublishFellows(n.fellows.core, n.now())
 	}
-	n.figures.poolSize.Store(int64(size))
-	n.figures.poolEjected.Store(int64(avoided))
+	n.figures.PoolSize.Store(int64(size))
+	n.figures.PoolEjected.Store(int64(avoided))
 }
 
 // end gives a message its final answer: to its client if that still waits, and by a notice otherwise.
-func (n *Node) end(id string, e ending, fresh map[string]arrival) {
+func (n *Node) end(id string, e journal.Ending, fresh map[string]arrival) {
 	p := n.messages[id]
-	if p == nil || p.ended != nil {
+	if p == nil || p.Ended != nil {
 		return
 	}
-	if e.failed {
-		n.figures.failed(p.class)
+	if e.Failed {
+		n.figures.Failed(p.Class)
 	} else {
-		n.figures.shed(p.class)
+		n.figures.Shed(p.Class)
 	}
 	if a, ok := fresh[id]; ok {
 		delete(fresh, id)
 		n.forget(p)
-		reply := answer{refused: true, after: e.after}
-		if e.failed {
-			reply = answer{failed: "the message failed"}
+		reply := ingress.Answer{Refused: true, After: e.After}
+		if e.Failed {
+			reply = ingress.Answer{Failed: "the message failed"}
 		}
 		n.acts = append(n.acts, func() { a.reply <- reply })
 		return
 	}
 	n.held--
-	n.journal.add(endedRecord(p.seq, e))
-	notice := newNotice(p)
+	n.journal.Ended(p, e)
+	notice := outbox.NewNotice(p)
 	n.acts = append(n.acts, func() { n.owed = append(n.owed, notice) })
 }
 
@@ -677,20 +686,20 @@
 	p, e := n.messages[a.ID], n.eps[a.Endpoint]
 	if e == nil {
 		// The list has just lost it; a call there is Stale, and so proven not to have run.
-		e = &endpoint{id: a.Endpoint, wait: new(atomic.Int64)}
-		e.shut.Store(true)
+		e = &egress.Endpoint{ID: a.Endpoint, Wait: new(atomic.Int64)}
+		e.Shut.Store(true)
 	}
 	pool := n.pool
-	name, now := attempt{a.ID, len(p.sends)}, time.Now()
-	n.journal.add(attemptRecord(p.seq, now, e.zone))
-	c := call{id: p.id, key: p.key, body: p.body, endpoint: e, notPast: n.wall(a.NotPast)}
+	name, now := attempt{a.ID, len(p.Sends)}, time.Now()
+	n.journal.Attempt(p, now, e.Zone)
+	c := egress.Call{ID: p.ID, Key: p.Key, Body: p.Body, Endpoint: e, NotPast: n.wall(a.NotPast)}
 	n.acts = append(n.acts, func() {
 		ctx, cancel := context.WithCancel(ctx)
 		n.out[name] = outCall{p, e, cancel}
 		n.calls.Go(func() {
 			defer cancel()
 			began := time.Now()
-			res := pool.do(ctx, c)
+			res := pool.Do(ctx, c)
 			// Not by tell: the loop takes every call's end, also while the node leaves.
 			n.events <- called{name, e, res, time.Since(began)}
 		})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,9 +20,28 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"harrierramp/internal/ingress"
+	"harrierramp/internal/journal"
+	"harrierramp/internal/testkit"
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
+func openJournalAt(t *testing.T, dir string) *journal.Journal {
+	t.Helper()
+	j, err := journal.Open(dir, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { j.Close() })
+	return j
+}
+
+func flushJournal(t *testing.T, j *journal.Journal) {
+	t.Helper()
+	if err := j.Flush(); err != nil {
+		t.Fatal(err)
+	}
+}
 
 // registry is discovery on a loopback socket: lists go to whoever watches, notices are kept.
 type registry struct {
@@ -184,7 +203,7 @@
 		shut()
 	})
 	t.Cleanup(stop)
-	eventually(t, "the node serves", n.ready)
+	testkit.Eventually(t, "the node serves", n.Ready)
 	return addr, door, stop
 }
 
@@ -192,27 +211,24 @@
 
 func mustAnswer(t *testing.T, addr, text, want string) {
 	t.Helper()
-	if got := ask(t, addr, text); got != want {
+	if got := testkit.Ask(t, addr, text); got != want {
 		t.Fatalf("got %q, want %q", got, want)
 	}
 }
 
 // Worth beyond a tenant's share counts little: the module has to know whose a message is, after a restart too.
 func TestTenantReachesTheModule(t *testing.T) {
-	q, err := parseEnqueue([][]byte{nil, nil, []byte("a"), []byte("c=notice,t=globex,d=50000,dest=7"), nil}, testNames, time.Now())
-	if err != nil {
-		t.Fatal(err)
-	}
+	q := ingress.Request{ID: "a", Tenant: 1, Dest: 7, Life: 50 * time.Second, Came: time.Now()}
 	state := t.TempDir()
-	n := &Node{journal: openTest(t, state, 3), messages: map[string]*past{}, dests: map[int]bool{7: true}, start: time.Now()}
-	if refusal, ok := n.accept(arrival{request: q}); !ok {
+	n := &Node{journal: openJournalAt(t, state), messages: map[string]*journal.Message{}, dests: map[int]bool{7: true}, start: time.Now()}
+	if refusal, ok := n.accept(arrival{Request: q}); !ok {
 		t.Fatalf("got %+v", refusal)
 	}
-	mustFlush(t, n.journal)
+	flushJournal(t, n.journal)
 	if got := n.arrived(n.messages["a"], time.Now()).Tenant; got != 1 {
 		t.Errorf("tenant %d", got)
 	}
-	for _, p := range openTest(t, state, 3).live {
+	for _, p := range openJournalAt(t, state).Owed() {
 		if got := n.resumed(p).Tenant; got != 1 {
 			t.Errorf("tenant %d after a restart", got)
 		}
@@ -221,20 +237,20 @@
 
 func TestDeliversAndForgets(t *testing.T) {
 	t.Parallel()
-	p, state := newPartner(t, says(delivered)), t.TempDir()
+	p, state := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), t.TempDir()
 	r := newRegistry(t)
-	addr, stop := startNode(t, r, state, serving("e", p.addr(), 7, "SERVING"))
-	mustAnswer(t, addr, resp("PING"), "+PONG")
-	mustAnswer(t, addr, enqueue("a", ofOrder, "body"), "+OK")
-	if req := p.next(t); req.Header.Get("X-Trace-Id") != "a" || req.Header.Get("Idempotency-Key") != "key" {
+	addr, stop := startNode(t, r, state, serving("e", p.Addr(), 7, "SERVING"))
+	mustAnswer(t, addr, testkit.Resp("PING"), "+PONG")
+	mustAnswer(t, addr, testkit.Enqueue("a", ofOrder, "body"), "+OK")
+	if req := p.Next(t); req.Header.Get("X-Trace-Id") != "a" || req.Header.Get("Idempotency-Key") != "key" {
 		t.Errorf("got %v", req.Header)
 	}
-	if got := ask(t, addr, enqueue("b", "c=status,d=5000,dest=99", "")); !strings.HasPrefix(got, "-ERR ") {
+	if got := testkit.Ask(t, addr, testkit.Enqueue("b", "c=status,d=5000,dest=99", "")); !strings.HasPrefix(got, "-ERR ") {
 		t.Errorf("an unknown destination: %q", got)
 	}
 	stop()
-	if j := openTest(t, state, 3); len(j.live) != 0 {
-		t.Errorf("%d live after delivery", len(j.live))
+	if j := openJournalAt(t, state); len(j.Owed()) != 0 {
+		t.Errorf("%d live after delivery", len(j.Owed()))
 	}
 }
 
@@ -243,21 +259,21 @@
 
 func TestHeldMessageIsTakenOnOnceAndRoomIsBounded(t *testing.T) {
 	t.Parallel()
-	p, r := newPartner(t, says(delivered)), newRegistry(t)
+	p, r := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t)
 	addr, _ := startNode(t, r, t.TempDir(), held())
-	mustAnswer(t, addr, enqueue("a", ofStatus, "x"), "+OK")
-	mustAnswer(t, addr, enqueue("a", ofStatus, "x"), "+OK") // the same one again
+	mustAnswer(t, addr, testkit.Enqueue("a", ofStatus, "x"), "+OK")
+	mustAnswer(t, addr, testkit.Enqueue("a", ofStatus, "x"), "+OK") // the same one again
 	answers := map[string]int{}
 	for i := range 6 {
-		answers[strings.Fields(ask(t, addr, enqueue("m"+itoa(i), ofStatus, "x")))[0]]++
+		answers[strings.Fields(testkit.Ask(t, addr, testkit.Enqueue("m"+strconv.Itoa(i), ofStatus, "x")))[0]]++
 	}
 	if answers["-BUSY"] < 3 || answers["+OK"] < 1 { // four may be held in all
 		t.Errorf("got %v", answers)
 	}
-	r.tell(listOf(2, false, serving("e", p.addr(), 7, "SERVING")))
+	r.tell(listOf(2, false, serving("e", p.Addr(), 7, "SERVING")))
 	seen := map[string]int{}
 	for range 1 + answers["+OK"] {
-		seen[p.next(t).Header.Get("X-Trace-Id")]++
+		seen[p.Next(t).Header.Get("X-Trace-Id")]++
 	}
 	if len(seen) != 1+answers["+OK"] {
 		t.Errorf("got %v", seen)
@@ -266,38 +282,38 @@
 
 func TestDrainAndWholeList(t *testing.T) {
 	t.Parallel()
-	first, second, r := newPartner(t, says(delivered)), newPartner(t, says(delivered)), newRegistry(t)
-	addr, _ := startNode(t, r, t.TempDir(), serving("e1", first.addr(), 7, "SERVING"))
-	mustAnswer(t, addr, enqueue("a", ofStatus, ""), "+OK")
-	first.next(t)
+	first, second, r := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t)
+	addr, _ := startNode(t, r, t.TempDir(), serving("e1", first.Addr(), 7, "SERVING"))
+	mustAnswer(t, addr, testkit.Enqueue("a", ofStatus, ""), "+OK")
+	first.Next(t)
 	for i, l := range []string{
-		listOf(2, false, serving("e1", first.addr(), 7, "DRAINING"), serving("e2", second.addr(), 7, "SERVING")),
-		listOf(3, true, serving("e1", first.addr(), 7, "SERVING")), // e2 is not in it, and so gone
+		listOf(2, false, serving("e1", first.Addr(), 7, "DRAINING"), serving("e2", second.Addr(), 7, "SERVING")),
+		listOf(3, true, serving("e1", first.Addr(), 7, "SERVING")), // e2 is not in it, and so gone
 	} {
-		from, other := []*partner{second, first}[i], []*partner{first, second}[i]
-		before, _ := other.counts()
+		from, other := []*testkit.Partner{second, first}[i], []*testkit.Partner{first, second}[i]
+		before, _ := other.Counts()
 		r.tell(l)
 		sentOn := func() bool {
 			// Until the list has come the other one is right; from the first call on the new one only it is.
-			mustAnswer(t, addr, enqueue(fmt.Sprintf("m%d", time.Now().UnixNano()), ofStatus, ""), "+OK")
+			mustAnswer(t, addr, testkit.Enqueue(fmt.Sprintf("m%d", time.Now().UnixNano()), ofStatus, ""), "+OK")
 			select {
-			case <-from.came:
+			case <-from.Came:
 				return true
-			case <-other.came:
+			case <-other.Came:
 				return false
-			case <-time.After(patience):
+			case <-time.After(testkit.Patience):
 				t.Fatal("no call came")
 				return false
 			}
 		}
-		eventually(t, "the new list is followed", sentOn)
-		after, _ := other.counts()
+		testkit.Eventually(t, "the new list is followed", sentOn)
+		after, _ := other.Counts()
 		for range 5 {
 			if !sentOn() {
 				t.Error("a call went to the endpoint that is drained or gone")
 			}
 		}
-		if now, _ := other.counts(); now != after || before > after {
+		if now, _ := other.Counts(); now != after || before > after {
 			t.Errorf("%d calls more", now-after)
 		}
 	}
@@ -308,7 +324,7 @@
 	const wait = 700 * time.Millisecond
 	var mu sync.Mutex
 	var told time.Time
-	p := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
+	p := testkit.NewPartner(t, func(nc net.Conn, _ *http.Request) bool {
 		mu.Lock()
 		defer mu.Unlock()
 		if told.IsZero() {
@@ -319,21 +335,21 @@
 		if early := wait - time.Since(told); early > 0 {
 			t.Errorf("a call came %v early", early)
 		}
-		return says(delivered)(nc, nil)
+		return testkit.Says(testkit.Delivered)(nc, nil)
 	})
 	r := newRegistry(t)
-	addr, _ := startNode(t, r, t.TempDir(), serving("e", p.addr(), 7, "SERVING"))
-	mustAnswer(t, addr, enqueue("a", ofPayout, ""), "+OK")
-	p.next(t)
+	addr, _ := startNode(t, r, t.TempDir(), serving("e", p.Addr(), 7, "SERVING"))
+	mustAnswer(t, addr, testkit.Enqueue("a", ofPayout, ""), "+OK")
+	p.Next(t)
 	time.Sleep(100 * time.Millisecond) // what crosses the answer is let through for so long
-	mustAnswer(t, addr, enqueue("b", ofStatus, ""), "+OK")
-	p.next(t)
-	p.next(t)
+	mustAnswer(t, addr, testkit.Enqueue("b", ofStatus, ""), "+OK")
+	p.Next(t)
+	p.Next(t)
 }
 
 func TestDiscoverySilentAndBack(t *testing.T) {
 	t.Parallel()
-	p, r := newPartner(t, says(delivered)), newRegistry(t)
+	p, r := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t)
 	addr, _ := startNode(t, r, t.TempDir(), held())
 	watching := func(least int) func() bool {
 		return func() bool {
@@ -342,33 +358,33 @@
 			return r.watches >= least
 		}
 	}
-	eventually(t, "a watch", watching(1))
-	mustAnswer(t, addr, enqueue("a", ofStatus, ""), "+OK") // without discovery all goes on
+	testkit.Eventually(t, "a watch", watching(1))
+	mustAnswer(t, addr, testkit.Enqueue("a", ofStatus, ""), "+OK") // without discovery all goes on
 	r.mu.Lock()
 	r.cutNow()
 	r.cut, r.cutNow = context.WithCancel(context.Background())
 	r.mu.Unlock()
-	eventually(t, "the watch is taken up again", watching(2))
-	r.tell(listOf(2, true, serving("e", p.addr(), 7, "SERVING")))
-	p.next(t)
+	testkit.Eventually(t, "the watch is taken up again", watching(2))
+	r.tell(listOf(2, true, serving("e", p.Addr(), 7, "SERVING")))
+	p.Next(t)
 }
 
 func TestNoticeIsRetriedUntilTaken(t *testing.T) {
 	t.Parallel()
-	p, r := newPartner(t, says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")), newRegistry(t)
+	p, r := testkit.NewPartner(t, testkit.Says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")), newRegistry(t)
 	r.refuse = 2
 	state := t.TempDir()
-	addr, stop := startNode(t, r, state, serving("e", p.addr(), 7, "SERVING"), serving("h", "127.0.0.1:9", 8, "DRAINING"))
-	mustAnswer(t, addr, enqueue("unsafe", ofPayout, ""), "+OK") // it may have run: failed
-	mustAnswer(t, addr, enqueue("short", "c=status,d=300,dest=8", ""), "+OK")
-	eventually(t, "the notice of a failure", func() bool { return r.state("unsafe") == "failed" })
-	eventually(t, "the notice of a refusal", func() bool { return r.state("short") == "returned" })
+	addr, stop := startNode(t, r, state, serving("e", p.Addr(), 7, "SERVING"), serving("h", "127.0.0.1:9", 8, "DRAINING"))
+	mustAnswer(t, addr, testkit.Enqueue("unsafe", ofPayout, ""), "+OK") // it may have run: failed
+	mustAnswer(t, addr, testkit.Enqueue("short", "c=status,d=300,dest=8", ""), "+OK")
+	testkit.Eventually(t, "the notice of a failure", func() bool { return r.state("unsafe") == "failed" })
+	testkit.Eventually(t, "the notice of a refusal", func() bool { return r.state("short") == "returned" })
 	stop()
-	if calls, _ := p.counts(); calls != 1 {
+	if calls, _ := p.Counts(); calls != 1 {
 		t.Errorf("%d calls", calls)
 	}
-	if j := openTest(t, state, 3); len(j.live) != 0 {
-		t.Errorf("%d live after their notices", len(j.live))
+	if j := openJournalAt(t, state); len(j.Owed()) != 0 {
+		t.Errorf("%d live after their notices", len(j.Owed()))
 	}
 }
 
@@ -432,7 +448,7 @@
 		t.Fatal(err)
 	}
 	c := &child{cmd, strings.TrimSpace(addr)}
-	mustAnswer(t, c.addr, resp("PING"), "+PONG")
+	mustAnswer(t, c.addr, testkit.Resp("PING"), "+PONG")
 	return c
 }
 
@@ -448,29 +464,29 @@
 // without another call.
 func TestKilledWhileCallsAreOut(t *testing.T) {
 	t.Parallel()
-	p, r, state := newPartner(t, silent), newRegistry(t), t.TempDir()
-	known := serving("e", p.addr(), 7, "SERVING")
+	p, r, state := testkit.NewPartner(t, testkit.Silent), newRegistry(t), t.TempDir()
+	known := serving("e", p.Addr(), 7, "SERVING")
 	c := startChild(t, r, state, known)
 	for id, fields := range map[string]string{"safe": ofStatus, "keyed": ofOrder, "unsafe": ofPayout} {
-		mustAnswer(t, c.addr, enqueue(id, fields, "body of "+id), "+OK")
-		if got := p.next(t).Header.Get("X-Trace-Id"); got != id {
+		mustAnswer(t, c.addr, testkit.Enqueue(id, fields, "body of "+id), "+OK")
+		if got := p.Next(t).Header.Get("X-Trace-Id"); got != id {
 			t.Fatalf("got a call for %q", got)
 		}
 	}
 	c.kill(t)
 
-	q := newPartner(t, says(delivered))
-	startChild(t, r, state, serving("e", q.addr(), 7, "SERVING"))
+	q := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
+	startChild(t, r, state, serving("e", q.Addr(), 7, "SERVING"))
 	seen := map[string]string{}
 	for range 2 {
-		req := q.next(t)
+		req := q.Next(t)
 		seen[req.Header.Get("X-Trace-Id")] = req.Header.Get("Idempotency-Key")
 	}
 	if key, ok := seen["keyed"]; !ok || key != "key" || len(seen) != 2 {
 		t.Errorf("delivered: %v", seen)
 	}
-	eventually(t, "the unsafe one fails", func() bool { return r.state("unsafe") == "failed" })
-	if calls, _ := q.counts(); calls != 2 {
+	testkit.Eventually(t, "the unsafe one fails", func() bool { return r.state("unsafe") == "failed" })
+	if calls, _ := q.Counts(); calls != 2 {
 		t.Errorf("%d calls", calls)
 	}
 }
@@ -478,25 +494,25 @@
 // Killed before anything was sent: all three effects are delivered, once each, in their order.
 func TestKilledWhileMessagesAreHeld(t *testing.T) {
 	t.Parallel()
-	p, r, state := newPartner(t, says(delivered)), newRegistry(t), t.TempDir()
+	p, r, state := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t), t.TempDir()
 	c := startChild(t, r, state, held())
 	ids := []string{"safe", "keyed", "unsafe"}
 	for i, fields := range []string{ofStatus, ofOrder, ofPayout} {
-		mustAnswer(t, c.addr, enqueue(ids[i], fields, ""), "+OK")
+		mustAnswer(t, c.addr, testkit.Enqueue(ids[i], fields, ""), "+OK")
 	}
 	c.kill(t)
 	c = startChild(t, r, state, held())
-	mustAnswer(t, c.addr, enqueue("safe", ofStatus, ""), "+OK") // handed in again: no second effect
+	mustAnswer(t, c.addr, testkit.Enqueue("safe", ofStatus, ""), "+OK") // handed in again: no second effect
 	c.kill(t)
-	startChild(t, r, state, serving("e", p.addr(), 7, "SERVING"))
+	startChild(t, r, state, serving("e", p.Addr(), 7, "SERVING"))
 	seen := map[string]int{}
 	for range ids {
-		seen[p.next(t).Header.Get("X-Trace-Id")]++
+		seen[p.Next(t).Header.Get("X-Trace-Id")]++
 	}
 	if len(seen) != 3 {
 		t.Errorf("got %v", seen)
 	}
-	if calls, _ := p.counts(); calls != 3 {
+	if calls, _ := p.Counts(); calls != 3 {
 		t.Errorf("%d calls", calls)
 	}
 }
@@ -508,31 +524,32 @@
 		for point, records := range []string{"accepted", "attempt", "not run", "ended"} {
 			t.Run(name+" "+records, func(t *testing.T) {
 				t.Parallel()
-				p, r, state := newPartner(t, says(delivered)), newRegistry(t), t.TempDir()
-				j := openTest(t, state, 3)
-				m, err := j.accept(&past{id: "a", key: "k", class: class, dest: 7, deadline: time.Now().Add(50 * time.Second)})
+				p, r, state := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t), t.TempDir()
+				j := openJournalAt(t, state)
+				m, err := j.Accept(&journal.Message{ID: "a", Key: "k", Class: class, Dest: 7, Deadline: time.Now().Add(50 * time.Second)})
 				if err != nil {
 					t.Fatal(err)
 				}
-				for i, rec := range [][]byte{
-					attemptRecord(m.seq, time.Now(), 0), outcomeRecord(recNotRun, m.seq, 0), endedRecord(m.seq, ending{after: time.Second}),
+				for i, write := range []func(){
+					func() { j.Attempt(m, time.Now(), 0) }, func() { j.NotRun(m, 0) },
+					func() { j.Ended(m, journal.Ending{After: time.Second}) },
 				} {
 					if i < point {
-						j.add(rec)
+						write()
 					}
 				}
-				mustFlush(t, j)
-				startNode(t, r, state, serving("e", p.addr(), 7, "SERVING"))
+				flushJournal(t, j)
+				startNode(t, r, state, serving("e", p.Addr(), 7, "SERVING"))
 				switch {
 				case records == "ended":
-					eventually(t, "the owed notice", func() bool { return r.state("a") == "returned" })
+					testkit.Eventually(t, "the owed notice", func() bool { return r.state("a") == "returned" })
 				case name == "unsafe" && records == "attempt":
-					eventually(t, "the failure", func() bool { return r.state("a") == "failed" })
+					testkit.Eventually(t, "the failure", func() bool { return r.state("a") == "failed" })
 				default:
-					p.next(t)
+					p.Next(t)
 					return
 				}
-				if calls, _ := p.counts(); calls != 0 {
+				if calls, _ := p.Counts(); calls != 0 {
 					t.Errorf("%d calls", calls)
 				}
 			})
@@ -546,23 +563,24 @@
 	t.Parallel()
 	for _, c := range []struct {
 		name            string
-		records         func(seq uint64) []byte
+		write           func(j *journal.Journal, p *journal.Message)
 		failed, touched bool
 	}{
-		{"out at the kill", func(seq uint64) []byte { return nil }, false, true},
-		{"timed out", func(seq uint64) []byte { return outcomeRecord(recFailed, seq, 0) }, true, true},
-		{"refused", func(seq uint64) []byte { return outcomeRecord(recNotRun, seq, 0) }, true, false},
+		{"out at the kill", func(*journal.Journal, *journal.Message) {}, false, true},
+		{"timed out", func(j *journal.Journal, p *journal.Message) { j.Failed(p, 0) }, true, true},
+		{"refused", func(j *journal.Journal, p *journal.Message) { j.NotRun(p, 0) }, true, false},
 	} {
 		dir := t.TempDir()
-		j := openTest(t, dir, 3)
-		m := mustAccept(t, j, "a", nil)
-		j.add(attemptRecord(m.seq, time.Now(), 0))
-		if rec := c.records(m.seq); rec != nil {
-			j.add(rec)
+		j := openJournalAt(t, dir)
+		m, err := j.Accept(&journal.Message{ID: "a", Class: 1, Dest: 7, Deadline: time.Now()})
+		if err != nil {
+			t.Fatal(err)
 		}
-		mustFlush(t, j)
+		j.Attempt(m, time.Now(), 0)
+		c.write(j, m)
+		flushJournal(t, j)
 		n := &Node{start: time.Now()}
-		for _, p := range openTest(t, dir, 3).live {
+		for _, p := range openJournalAt(t, dir).Owed() {
 			r := n.resumed(p)
 			if r.Failed != c.failed || r.Touched != c.touched || r.Attempts != 1 || (r.Touched && r.MayRun > n.now()) {
 				t.Errorf("%s: got %+v", c.name, r)
@@ -573,23 +591,23 @@
 
 func TestOverdueAndPastTheWindowEndAtOnce(t *testing.T) {
 	t.Parallel()
-	p, r, state := newPartner(t, says(delivered)), newRegistry(t), t.TempDir()
-	j := openTest(t, state, 3)
-	late, err := j.accept(&past{id: "late", class: 0, dest: 7, deadline: time.Now().Add(-time.Second)})
+	p, r, state := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t), t.TempDir()
+	j := openJournalAt(t, state)
+	late, err := j.Accept(&journal.Message{ID: "late", Class: 0, Dest: 7, Deadline: time.Now().Add(-time.Second)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	forgotten, err := j.accept(&past{id: "forgotten", key: "k", class: 1, dest: 7, deadline: time.Now().Add(time.Minute)})
+	forgotten, err := j.Accept(&journal.Message{ID: "forgotten", Key: "k", Class: 1, Dest: 7, Deadline: time.Now().Add(time.Minute)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	j.add(attemptRecord(late.seq, time.Now().Add(-time.Minute), 0))
-	j.add(attemptRecord(forgotten.seq, time.Now().Add(-2*time.Minute), 0)) // its key is remembered for one
-	mustFlush(t, j)
-	startNode(t, r, state, serving("e", p.addr(), 7, "SERVING"))
-	eventually(t, "the overdue one's end", func() bool { return r.state("late") == "returned" })
-	eventually(t, "the forgotten key's end", func() bool { return r.state("forgotten") == "failed" })
-	if calls, _ := p.counts(); calls != 0 {
+	j.Attempt(late, time.Now().Add(-time.Minute), 0)
+	j.Attempt(forgotten, time.Now().Add(-2*time.Minute), 0) // its key is remembered for one
+	flushJournal(t, j)
+	startNode(t, r, state, serving("e", p.Addr(), 7, "SERVING"))
+	testkit.Eventually(t, "the overdue one's end", func() bool { return r.state("late") == "returned" })
+	testkit.Eventually(t, "the forgotten key's end", func() bool { return r.state("forgotten") == "failed" })
+	if calls, _ := p.Counts(); calls != 0 {
 		t.Errorf("%d calls", calls)
 	}
 }
@@ -597,13 +615,13 @@
 // After SIGTERM clients are answered as ever, the process ends well by itself, and the next one has what was held.
 func TestSIGTERM(t *testing.T) {
 	t.Parallel()
-	p, r, state := newPartner(t, says(delivered)), newRegistry(t), t.TempDir()
+	p, r, state := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t), t.TempDir()
 	c := startChild(t, r, state, held())
-	nc, br := dialTest(t, c.addr)
+	nc, br := testkit.DialTest(t, c.addr)
 	if err := c.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	for _, m := range []string{enqueue("a", ofStatus, ""), enqueue("b", ofPayout, "")} { // on an old connection
+	for _, m := range []string{testkit.Enqueue("a", ofStatus, ""), testkit.Enqueue("b", ofPayout, "")} { // on an old connection
 		if _, err := io.WriteString(nc, m); err != nil {
 			t.Fatal(err)
 		}
@@ -611,14 +629,14 @@
 			t.Fatalf("got %q, %v", line, err)
 		}
 	}
-	mustAnswer(t, c.addr, enqueue("c", ofOrder, ""), "+OK") // and on a new one
+	mustAnswer(t, c.addr, testkit.Enqueue("c", ofOrder, ""), "+OK") // and on a new one
 	if err := c.cmd.Wait(); err != nil {
 		t.Fatal(err)
 	}
-	startChild(t, r, state, serving("e", p.addr(), 7, "SERVING"))
+	startChild(t, r, state, serving("e", p.Addr(), 7, "SERVING"))
 	seen := map[string]bool{}
 	for range 3 {
-		seen[p.next(t).Header.Get("X-Trace-Id")] = true
+		seen[p.Next(t).Header.Get("X-Trace-Id")] = true
 	}
 	if len(seen) != 3 {
 		t.Errorf("got %v", seen)
--- /dev/null
+++ b/internal/node/operators.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"harrierramp/internal/admin"
+)
+
+// The node as the door sees it; all of these are called from any goroutine.
+
+// Ready tells that this process owns the node and serves.
+func (n *Node) Ready() bool { return n.serving.Load() }
+
+// Stats are the figures as StatsD lines.
+func (n *Node) Stats() []byte { return n.figures.Text() }
+
+// Members asks the loop who is there.
+func (n *Node) Members(ctx context.Context) (*admin.View, error) {
+	if n.cfg.Membership == nil {
+		return nil, admin.ErrNoMembership
+	}
+	if !n.serving.Load() {
+		return nil, admin.ErrNotServing
+	}
+	ask := viewAsk{make(chan *admin.View, 1)}
+	n.tell(ctx, ask)
+	select {
+	case v := <-ask.reply:
+		if v == nil {
+			return nil, admin.ErrNoPeers
+		}
+		return v, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Disable takes an endpoint out until Enable, and returns once that holds.
+func (n *Node) Disable(ctx context.Context, endpoint string) error {
+	return n.tellOrder(ctx, order{endpoint: endpoint, on: true})
+}
+
+// Enable puts an endpoint back.
+func (n *Node) Enable(ctx context.Context, endpoint string) error {
+	return n.tellOrder(ctx, order{endpoint: endpoint})
+}
+
+// Drain sends clients away, or takes them again.
+func (n *Node) Drain(ctx context.Context, on bool) error { return n.tellOrder(ctx, order{on: on}) }
+
+// tellOrder hands an order to the loop and waits until it holds.
+func (n *Node) tellOrder(ctx context.Context, o order) error {
+	if !n.serving.Load() && !n.passing.Load() {
+		return admin.ErrNotServing
+	}
+	o.done = make(chan error, 1)
+	n.tell(ctx, o)
+	select {
+	case err := <-o.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ServeOperators answers operators on ln until the function that it returns is called.
+func (n *Node) ServeOperators(ln net.Listener) (stop func()) {
+	d := admin.NewDoor(ln, n, n.log)
+	var serving sync.WaitGroup
+	serving.Go(d.Serve)
+	return func() {
+		d.Close()
+		serving.Wait()
+	}
+}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -8,6 +8,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+
+	"harrierramp/internal/atomicfile"
 )
 
 // orders are what the operators have told the node and not taken back. They stand in a file of their own, so that
@@ -84,7 +86,7 @@
 	if err != nil {
 		return fmt.Errorf("orders: %w", err)
 	}
-	if err := replaceFile(o.path(), raw); err != nil {
+	if err := atomicfile.Replace(o.path(), raw); err != nil {
 		return fmt.Errorf("orders: %w", err)
 	}
 	return nil
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/backoff"
 	"harrierramp/internal/membership"
 )
 
@@ -48,7 +49,7 @@
 		if p.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)); err == nil {
 			return p, nil
 		}
-		if !sleep(ctx, peerPause) {
+		if !backoff.Sleep(ctx, peerPause) {
 			break
 		}
 	}
@@ -65,7 +66,7 @@
 		}
 		if err != nil {
 			log.Debug("a note was not read", "err", err)
-			if !sleep(ctx, firstBackoff) {
+			if !backoff.Sleep(ctx, backoff.First) {
 				return
 			}
 			continue
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -4,18 +4,22 @@
 	"context"
 	"errors"
 	"time"
+
+	"harrierramp/internal/admin"
+	"harrierramp/internal/handover"
+	"harrierramp/internal/ingress"
 )
 
 // relay serves a successor that owns the node: clients move to it, outcomes are told, orders passed on. It returns
 // when the successor has gone, with the outcomes that it has not heard of, or, as left, when this process may end.
-func (n *Node) relay(ctx context.Context, l *link, gone <-chan struct{}) (unheard []called, left bool) {
+func (n *Node) relay(ctx context.Context, l *handover.Link, gone <-chan struct{}) (unheard []called, left bool) {
 	down := make(chan struct{})
-	dones := make(chan orderDone)
-	cancels := make(chan callName)
+	dones := make(chan handover.OrderDone)
+	cancels := make(chan handover.CallName)
 	go func() { // ends with the link, which is closed below
 		defer close(down)
 		for {
-			f, file, err := l.receive()
+			f, file, err := l.Receive()
 			if file != nil {
 				file.Close()
 			}
@@ -31,7 +35,7 @@
 		}
 	}()
 	defer func() {
-		l.close()
+		l.Close()
 		for {
 			select {
 			case <-cancels:
@@ -43,18 +47,18 @@
 	}()
 	orders := map[int]order{}
 	number := 0
-	tick := time.NewTicker(askPause)
+	tick := time.NewTicker(handover.AskPause)
 	defer tick.Stop()
 	for {
 		select {
 		case e := <-n.events:
 			switch e := e.(type) {
 			case arrival:
-				e.reply <- answer{moved: true}
+				e.reply <- ingress.Answer{Moved: true}
 			case called:
-				if l.send(frame{Ended: &endedCall{
-					callName: callName{e.id, e.n}, Endpoint: e.endpoint.id, Outcome: e.outcome, Wait: e.wait, Took: e.took,
-					NoSlot: e.noSlot, Closed: e.closed, Reused: e.reused, Report: e.report,
+				if l.Send(handover.Frame{Ended: &handover.EndedCall{
+					CallName: handover.CallName{ID: e.id, N: e.n}, Endpoint: e.endpoint.ID, Outcome: e.Outcome, Wait: e.Wait, Took: e.took,
+					NoSlot: e.NoSlot, Closed: e.Closed, Reused: e.Reused, Report: e.Report,
 				}}, -1) != nil {
 					unheard = append(unheard, e)
 				} else {
@@ -62,8 +66,8 @@
 				}
 			case order:
 				number++
-				if err := l.send(frame{Order: &linkOrder{number, e.endpoint, e.on}}, -1); err != nil {
-					e.done <- errNotServing
+				if err := l.Send(handover.Frame{Order: &handover.LinkOrder{Number: number, Endpoint: e.endpoint, On: e.on}}, -1); err != nil {
+					e.done <- admin.ErrNotServing
 				} else {
 					orders[number] = e
 				}
@@ -77,7 +81,7 @@
 				delete(orders, d.Number)
 				switch {
 				case d.Unknown:
-					o.done <- errUnknownEndpoint
+					o.done <- admin.ErrUnknownEndpoint
 				case d.No != "":
 					o.done <- errors.New(d.No)
 				default:
@@ -86,7 +90,7 @@
 			}
 		case <-down:
 			for _, o := range orders {
-				o.done <- errNotServing
+				o.done <- admin.ErrNotServing
 			}
 			return append(unheard, n.callOff(unheard)...), ctx.Err() != nil
 		case <-gone: // what is still out has had its time
@@ -95,7 +99,7 @@
 			}
 			gone = nil
 		case <-tick.C:
-			if ctx.Err() != nil && len(n.out) == 0 && (gone == nil || n.clients.count() == 0) {
+			if ctx.Err() != nil && len(n.out) == 0 && (gone == nil || n.clients.Count() == 0) {
 				return nil, true
 			}
 		}
@@ -112,9 +116,9 @@
 		case called:
 			ends = append(ends, e)
 		case arrival:
-			e.reply <- answer{moved: true} // it stays, and asks again
+			e.reply <- ingress.Answer{Moved: true} // it stays, and asks again
 		case order:
-			e.done <- errNotServing
+			e.done <- admin.ErrNotServing
 		}
 	}
 	return ends
--- /dev/null
+++ b/internal/node/successors.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"harrierramp/internal/backoff"
+	"harrierramp/internal/handover"
+)
+
+const successorGrace = 500 * time.Millisecond // for a process to say what it comes for
+
+// successors hands each process that asks to the loop, until ln is closed.
+func (n *Node) successors(ctx context.Context, ln *net.UnixListener) {
+	for {
+		nc, err := ln.AcceptUnix()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) || !backoff.Sleep(ctx, backoff.First) {
+				return
+			}
+			continue
+		}
+		l := &handover.Link{C: nc}
+		if err := nc.SetReadDeadline(time.Now().Add(successorGrace)); err == nil {
+			var f handover.Frame
+			if f, _, err = l.Receive(); err == nil && f.Ask && nc.SetReadDeadline(time.Time{}) == nil {
+				select {
+				case n.asks <- l:
+					continue
+				case <-ctx.Done():
+				}
+			}
+		}
+		l.Close()
+	}
+}
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -18,6 +18,10 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"harrierramp/internal/handover"
+	"harrierramp/internal/ingress"
+	"harrierramp/internal/testkit"
 )
 
 // platform holds the clients' socket, as it does in service, and starts processes of one node on it.
@@ -87,12 +91,12 @@
 func (p *platform) serve(env ...string) *process {
 	p.t.Helper()
 	c := p.start(env...)
-	eventually(p.t, "it is ready", func() bool { return c.ready(p.t) })
+	testkit.Eventually(p.t, "it is ready", func() bool { return c.ready(p.t) })
 	return c
 }
 
 func (c *process) ready(t *testing.T) bool {
-	code, _ := operate(t, c.door, "GET", "/ops/readiness")
+	code, _ := testkit.Operate(t, c.door, "GET", "/ops/readiness")
 	return code == http.StatusNoContent
 }
 
@@ -115,7 +119,7 @@
 	}
 	select {
 	case <-c.ended:
-	case <-time.After(patience):
+	case <-time.After(testkit.Patience):
 		t.Fatal("it does not end")
 	}
 	if c.err != nil {
@@ -133,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	ln, err := PassedListener(3)
+	ln, err := ingress.PassedListener(3)
 	if err != nil {
 		return err
 	}
@@ -150,20 +154,20 @@
 func TestUpgradeUnderWay(t *testing.T) {
 	t.Parallel()
 	answer := make(chan struct{})
-	p, r := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
+	p, r := testkit.NewPartner(t, func(nc net.Conn, _ *http.Request) bool {
 		<-answer
-		_, err := io.WriteString(nc, delivered)
+		_, err := io.WriteString(nc, testkit.Delivered)
 		return err == nil
 	}), newRegistry(t)
-	node := newPlatform(t, r, serving("e", p.addr(), 7, "SERVING"), serving("f", "127.0.0.1:9", 8, "DRAINING"))
+	node := newPlatform(t, r, serving("e", p.Addr(), 7, "SERVING"), serving("f", "127.0.0.1:9", 8, "DRAINING"))
 	old := node.serve()
-	mustAnswer(t, node.addr(), enqueue("out", ofPayout, ""), "+OK")
-	p.next(t)
-	mustAnswer(t, node.addr(), enqueue("held", "c=payout,d=50000,dest=8", ""), "+OK")
-	idle, idleR := dialTest(t, node.addr())
-	mustSay(t, idle, idleR, resp("PING"), "+PONG")
-	half, halfR := dialTest(t, node.addr())
-	text := enqueue("half", ofStatus, "body")
+	mustAnswer(t, node.addr(), testkit.Enqueue("out", ofPayout, ""), "+OK")
+	p.Next(t)
+	mustAnswer(t, node.addr(), testkit.Enqueue("held", "c=payout,d=50000,dest=8", ""), "+OK")
+	idle, idleR := testkit.DialTest(t, node.addr())
+	testkit.MustSay(t, idle, idleR, testkit.Resp("PING"), "+PONG")
+	half, halfR := testkit.DialTest(t, node.addr())
+	text := testkit.Enqueue("half", ofStatus, "body")
 	if _, err := io.WriteString(half, text[:30]); err != nil {
 		t.Fatal(err)
 	}
@@ -172,25 +176,25 @@
 	if old.ready(t) {
 		t.Error("both say that they serve")
 	}
-	mustSay(t, half, halfR, text[30:], "+OK")
-	mustSay(t, idle, idleR, enqueue("out", ofPayout, ""), "+OK") // taken on before: no second effect
-	mustSay(t, idle, idleR, enqueue("held", "c=payout,d=50000,dest=8", ""), "+OK")
+	testkit.MustSay(t, half, halfR, text[30:], "+OK")
+	testkit.MustSay(t, idle, idleR, testkit.Enqueue("out", ofPayout, ""), "+OK") // taken on before: no second effect
+	testkit.MustSay(t, idle, idleR, testkit.Enqueue("held", "c=payout,d=50000,dest=8", ""), "+OK")
 	mustFigure(t, next.door, "router.active", "3|g")
 	mustFigure(t, old.door, "router.active", "0|g")
 	close(answer)
-	if got := p.next(t).Header.Get("X-Trace-Id"); got != "half" {
+	if got := p.Next(t).Header.Get("X-Trace-Id"); got != "half" {
 		t.Errorf("got a call for %q", got)
 	}
 	mustFigure(t, next.door, "router.ok.payout", "1|c")
 	mustFigure(t, next.door, "router.ok.status", "1|c")
 	old.term(t)
-	mustSay(t, idle, idleR, resp("PING"), "+PONG")
-	mustSay(t, half, halfR, resp("PING"), "+PONG")
-	r.tell(listOf(2, false, serving("f", p.addr(), 8, "SERVING")))
-	if got := p.next(t).Header.Get("X-Trace-Id"); got != "held" {
+	testkit.MustSay(t, idle, idleR, testkit.Resp("PING"), "+PONG")
+	testkit.MustSay(t, half, halfR, testkit.Resp("PING"), "+PONG")
+	r.tell(listOf(2, false, serving("f", p.Addr(), 8, "SERVING")))
+	if got := p.Next(t).Header.Get("X-Trace-Id"); got != "held" {
 		t.Errorf("got a call for %q", got)
 	}
-	if calls, _ := p.counts(); calls != 3 {
+	if calls, _ := p.Counts(); calls != 3 {
 		t.Errorf("%d calls for 3 messages", calls)
 	}
 	mustFigure(t, next.door, "router.ok.payout", "2|c")
@@ -201,14 +205,14 @@
 // Clients go on handing in messages over several upgrades: none is turned away or unheard, each is delivered once.
 func TestUpgradesUnderLoad(t *testing.T) {
 	t.Parallel()
-	p, r := newPartner(t, says(delivered)), newRegistry(t)
-	node := newPlatform(t, r, serving("e", p.addr(), 7, "SERVING"))
+	p, r := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t)
+	node := newPlatform(t, r, serving("e", p.Addr(), 7, "SERVING"))
 	process := node.serve()
 	stop := make(chan struct{})
 	go func() { // the endpoint waits for whoever takes note of its calls
 		for {
 			select {
-			case <-p.came:
+			case <-p.Came:
 			case <-t.Context().Done():
 				return
 			}
@@ -218,14 +222,14 @@
 	sent := make([]int, 4)
 	for w := range sent {
 		load.Go(func() {
-			nc, br := dialTest(t, node.addr())
+			nc, br := testkit.DialTest(t, node.addr())
 			for {
 				select {
 				case <-stop:
 					return
 				default:
 				}
-				if _, err := io.WriteString(nc, enqueue(fmt.Sprint(w, "-", sent[w]), ofPayout, "body")); err != nil {
+				if _, err := io.WriteString(nc, testkit.Enqueue(fmt.Sprint(w, "-", sent[w]), ofPayout, "body")); err != nil {
 					t.Error(err)
 					return
 				}
@@ -253,11 +257,11 @@
 		total += n
 	}
 	mustFigure(t, process.door, "router.active", "0|g")
-	eventually(t, "all is delivered", func() bool { calls, _ := p.counts(); return calls >= total })
+	testkit.Eventually(t, "all is delivered", func() bool { calls, _ := p.Counts(); return calls >= total })
 	seen := map[string]bool{}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, req := range p.calls {
+	p.Mu.Lock()
+	defer p.Mu.Unlock()
+	for _, req := range p.Calls {
 		id := req.Header.Get("X-Trace-Id")
 		if seen[id] {
 			t.Errorf("%s was sent twice", id)
@@ -272,25 +276,25 @@
 // What operators have told outlasts an upgrade, a drain too; orders reach the node at either door.
 func TestOrdersOutlastAnUpgrade(t *testing.T) {
 	t.Parallel()
-	p, r := newPartner(t, says(delivered)), newRegistry(t)
-	node := newPlatform(t, r, serving("e", p.addr(), 7, "SERVING"))
+	p, r := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t)
+	node := newPlatform(t, r, serving("e", p.Addr(), 7, "SERVING"))
 	old := node.serve()
-	mustOperate(t, old.door, "PUT", "/ops/endpoints/down?id=e", 204)
-	mustOperate(t, old.door, "PUT", "/ops/drain/start", 204)
+	testkit.MustOperate(t, old.door, "PUT", "/ops/endpoints/down?id=e", 204)
+	testkit.MustOperate(t, old.door, "PUT", "/ops/drain/start", 204)
 	next := node.serve()
 	mustFigure(t, next.door, "router.pool_ejected", "1|g")
-	if got := ask(t, node.addr(), resp("PING")); got == "+PONG" {
+	if got := testkit.Ask(t, node.addr(), testkit.Resp("PING")); got == "+PONG" {
 		t.Error("the drain is lost")
 	}
-	mustOperate(t, old.door, "PUT", "/ops/endpoints/up?id=nobody", 404)
-	mustOperate(t, old.door, "PUT", "/ops/drain/stop", 204)
-	mustAnswer(t, node.addr(), resp("PING"), "+PONG")
-	mustAnswer(t, node.addr(), enqueue("a", ofStatus, ""), "+OK")
-	if calls, _ := p.counts(); calls != 0 {
+	testkit.MustOperate(t, old.door, "PUT", "/ops/endpoints/up?id=nobody", 404)
+	testkit.MustOperate(t, old.door, "PUT", "/ops/drain/stop", 204)
+	mustAnswer(t, node.addr(), testkit.Resp("PING"), "+PONG")
+	mustAnswer(t, node.addr(), testkit.Enqueue("a", ofStatus, ""), "+OK")
+	if calls, _ := p.Counts(); calls != 0 {
 		t.Errorf("%d calls at an endpoint that is out", calls)
 	}
-	mustOperate(t, old.door, "PUT", "/ops/endpoints/up?id=e", 204)
-	p.next(t)
+	testkit.MustOperate(t, old.door, "PUT", "/ops/endpoints/up?id=e", 204)
+	p.Next(t)
 	old.term(t)
 }
 
@@ -301,14 +305,14 @@
 	for _, after := range []bool{false, true} {
 		t.Run(fmt.Sprint("after the handover ", after), func(t *testing.T) {
 			t.Parallel()
-			p, r := newPartner(t, silent), newRegistry(t)
-			node := newPlatform(t, r, serving("e", p.addr(), 7, "SERVING"))
+			p, r := testkit.NewPartner(t, testkit.Silent), newRegistry(t)
+			node := newPlatform(t, r, serving("e", p.Addr(), 7, "SERVING"))
 			old := node.serve()
-			mustAnswer(t, node.addr(), enqueue("unsafe", ofPayout, ""), "+OK")
-			p.next(t)
-			mustAnswer(t, node.addr(), enqueue("safe", ofStatus, ""), "+OK")
-			p.next(t)
-			mustOperate(t, old.door, "PUT", "/ops/drain/start", 204)
+			mustAnswer(t, node.addr(), testkit.Enqueue("unsafe", ofPayout, ""), "+OK")
+			p.Next(t)
+			mustAnswer(t, node.addr(), testkit.Enqueue("safe", ofStatus, ""), "+OK")
+			p.Next(t)
+			testkit.MustOperate(t, old.door, "PUT", "/ops/drain/start", 204)
 			var next *process
 			if after {
 				next = node.serve()
@@ -322,13 +326,13 @@
 					t.Fatal("ready while another process owns the node")
 				}
 				old.kill(t)
-				eventually(t, "it is ready", func() bool { return next.ready(t) })
+				testkit.Eventually(t, "it is ready", func() bool { return next.ready(t) })
 			}
-			eventually(t, "the failure is told", func() bool { return r.state("unsafe") == "failed" })
-			if got := p.next(t).Header.Get("X-Trace-Id"); got != "safe" {
+			testkit.Eventually(t, "the failure is told", func() bool { return r.state("unsafe") == "failed" })
+			if got := p.Next(t).Header.Get("X-Trace-Id"); got != "safe" {
 				t.Errorf("got a call for %q", got)
 			}
-			if got := ask(t, node.addr(), resp("PING")); got == "+PONG" {
+			if got := testkit.Ask(t, node.addr(), testkit.Resp("PING")); got == "+PONG" {
 				t.Error("the drain is lost")
 			}
 			mustFigure(t, next.door, "router.errors.payout", "1|c")
@@ -339,39 +343,39 @@
 // The new process ends, having served for a while or in the middle of the handover: the old one goes on.
 func TestNewProcessFails(t *testing.T) {
 	t.Parallel()
-	p, r := newPartner(t, says(delivered)), newRegistry(t)
-	node := newPlatform(t, r, serving("e", p.addr(), 7, "SERVING"), serving("f", "127.0.0.1:9", 8, "DRAINING"))
+	p, r := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t)
+	node := newPlatform(t, r, serving("e", p.Addr(), 7, "SERVING"), serving("f", "127.0.0.1:9", 8, "DRAINING"))
 	old := node.serve()
-	mustAnswer(t, node.addr(), enqueue("a", "c=payout,d=50000,dest=8", ""), "+OK")
+	mustAnswer(t, node.addr(), testkit.Enqueue("a", "c=payout,d=50000,dest=8", ""), "+OK")
 
 	// One that takes the state and is gone.
-	c, err := askOwner(t.Context(), node.state)
+	c, err := handover.Acquire(t.Context(), node.state, true)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := errors.Join(c.from.close(), c.lock.Close()); err != nil {
+	if err := errors.Join(c.From.Close(), c.Lock.Close()); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "the old one serves again", func() bool { return old.ready(t) })
-	mustAnswer(t, node.addr(), enqueue("b", "c=payout,d=50000,dest=8", ""), "+OK")
+	testkit.Eventually(t, "the old one serves again", func() bool { return old.ready(t) })
+	mustAnswer(t, node.addr(), testkit.Enqueue("b", "c=payout,d=50000,dest=8", ""), "+OK")
 
 	next := node.serve()
-	mustAnswer(t, node.addr(), enqueue("c", ofPayout, ""), "+OK")
-	p.next(t)
-	mustOperate(t, next.door, "PUT", "/ops/endpoints/down?id=e", 204)
+	mustAnswer(t, node.addr(), testkit.Enqueue("c", ofPayout, ""), "+OK")
+	p.Next(t)
+	testkit.MustOperate(t, next.door, "PUT", "/ops/endpoints/down?id=e", 204)
 	next.kill(t)
-	eventually(t, "the old one serves again", func() bool { return old.ready(t) })
-	mustAnswer(t, node.addr(), enqueue("a", "c=payout,d=50000,dest=8", ""), "+OK") // still known
-	mustAnswer(t, node.addr(), enqueue("d", ofPayout, ""), "+OK")                  // for an endpoint that is out
+	testkit.Eventually(t, "the old one serves again", func() bool { return old.ready(t) })
+	mustAnswer(t, node.addr(), testkit.Enqueue("a", "c=payout,d=50000,dest=8", ""), "+OK") // still known
+	mustAnswer(t, node.addr(), testkit.Enqueue("d", ofPayout, ""), "+OK")                  // for an endpoint that is out
 	mustFigure(t, old.door, "router.active", "3|g")
-	r.tell(listOf(2, false, serving("f", p.addr(), 8, "SERVING")))
+	r.tell(listOf(2, false, serving("f", p.Addr(), 8, "SERVING")))
 	seen := map[string]bool{}
 	for range 2 {
-		seen[p.next(t).Header.Get("X-Trace-Id")] = true
+		seen[p.Next(t).Header.Get("X-Trace-Id")] = true
 	}
-	mustOperate(t, old.door, "PUT", "/ops/endpoints/up?id=e", 204)
-	seen[p.next(t).Header.Get("X-Trace-Id")] = true
-	if calls, _ := p.counts(); len(seen) != 3 || seen["c"] || calls != 4 {
+	testkit.MustOperate(t, old.door, "PUT", "/ops/endpoints/up?id=e", 204)
+	seen[p.Next(t).Header.Get("X-Trace-Id")] = true
+	if calls, _ := p.Counts(); len(seen) != 3 || seen["c"] || calls != 4 {
 		t.Errorf("sent afterwards: %v, of %d calls", seen, calls)
 	}
 	old.term(t)
@@ -384,12 +388,12 @@
 	if err := os.Mkdir(dir, 0o700); err != nil {
 		t.Fatal(err)
 	}
-	ln, err := listenForSuccessor(dir)
+	ln, err := handover.Listen(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	path, done, err := socketPath(dir)
+	path, done, err := handover.SocketPath(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -415,7 +419,7 @@
 			t.Fatal(err)
 		}
 	}
-	ln, err := PassedListener(number)
+	ln, err := ingress.PassedListener(number)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -446,13 +450,13 @@
 	}
 	meddle()
 	accept()
-	if err := ln.(*passedListener).SetDeadline(time.Unix(1, 0)); err != nil {
+	if err := ln.(interface{ SetDeadline(time.Time) error }).SetDeadline(time.Unix(1, 0)); err != nil {
 		t.Fatal(err)
 	}
 	if err := <-failed; !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("got %v", err)
 	}
-	if err := ln.(*passedListener).SetDeadline(time.Time{}); err != nil {
+	if err := ln.(interface{ SetDeadline(time.Time) error }).SetDeadline(time.Time{}); err != nil {
 		t.Fatal(err)
 	}
 	accept()
--- a/internal/node/notices.go
+++ b/internal/outbox/outbox.go
@@ -1,4 +1,5 @@
-package node
+// Package outbox hands notices of final answers to the platform until they are taken.
+package outbox
 
 import (
 	"bytes"
@@ -9,60 +10,65 @@
 	"log/slog"
 	"net/http"
 	"time"
+
+	"harrierramp/internal/backoff"
+	"harrierramp/internal/journal"
+	"harrierramp/internal/listwatch"
 )
 
 const (
 	// noticeTimeout bounds one post. The agent answers at once, and a notice is overdue 300 ms after its
 	// message's time, so a connection that says nothing is given up early.
 	noticeTimeout = 500 * time.Millisecond
-	maxNotices    = 32 // in one post: with the longest ids, every byte escaped, its body stays under 64 KiB
+	maxPost       = 64 << 10 // of a post, and of its answer
+	maxNotices    = 32       // in one post: with the longest ids, every byte escaped, its body stays under 64 KiB
 )
 
-// notice tells the platform how a message ended that was taken on and not delivered.
-type notice struct {
-	of      *past
-	ID      string `json:"id"`
-	State   string `json:"state"`
-	AfterMS int64  `json:"after_ms,omitempty"`
+// Notice tells the platform how a message ended that was taken on and not delivered.
+type Notice struct {
+	Of      *journal.Message `json:"-"`
+	ID      string           `json:"id"`
+	State   string           `json:"state"`
+	AfterMS int64            `json:"after_ms,omitempty"`
 }
 
-// newNotice is the notice of a message that has its final answer.
-func newNotice(p *past) notice {
-	if p.ended.failed {
-		return notice{of: p, ID: p.id, State: "failed"}
+// NewNotice is the notice of a message that has its final answer.
+func NewNotice(p *journal.Message) Notice {
+	if p.Ended.Failed {
+		return Notice{Of: p, ID: p.ID, State: "failed"}
 	}
-	return notice{of: p, ID: p.id, State: "returned", AfterMS: p.ended.after.Milliseconds()}
+	return Notice{Of: p, ID: p.ID, State: "returned", AfterMS: p.Ended.After.Milliseconds()}
 }
 
-// report posts the notices that come, in order, until ctx ends. A post that is not taken is made again, for a
+// Run posts the notices that come, in order, until ctx ends. A post that is not taken is made again, for a
 // notice that comes twice does no harm and one that never comes loses its message. What was taken goes to
 // done; the journal keeps the rest for the next start.
-func report(
-	ctx context.Context, log *slog.Logger, client *http.Client, at *discovery, notices <-chan []notice, done func([]notice),
+func Run(
+	ctx context.Context, log *slog.Logger, client *http.Client, at *listwatch.Addresses, notices <-chan []Notice, done func([]Notice),
 ) {
 	for turn := 0; ; {
-		var batch []notice
+		var batch []Notice
 		select {
 		case batch = <-notices:
 		case <-ctx.Done():
 			return
 		}
-		pause := backoff{first: firstBackoff, last: lastBackoff}
+		pause := backoff.Backoff{First: backoff.First, Last: backoff.Last}
 		for len(batch) > 0 {
 			some := batch[:min(len(batch), maxNotices)]
-			addr, here, cancel := at.here(ctx, turn)
+			addr, here, cancel := at.Here(ctx, turn)
 			err := post(here, client, addr, some)
 			switch {
 			case err == nil:
 				batch = batch[len(some):]
-				pause.reset()
+				pause.Reset()
 				done(some)
 			case here.Err() != nil:
-				pause.reset() // it has moved, or the node ends
+				pause.Reset() // it has moved, or the node ends
 			default:
 				turn++
 				log.Debug("notices not taken", "addr", addr, "count", len(some), "err", err)
-				sleep(here, pause.next())
+				backoff.Sleep(here, pause.Next())
 			}
 			cancel()
 			if ctx.Err() != nil {
@@ -73,7 +79,7 @@
 }
 
 // post makes one post of notices, an object a line.
-func post(ctx context.Context, client *http.Client, addr string, batch []notice) error {
+func post(ctx context.Context, client *http.Client, addr string, batch []Notice) error {
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
 	var body bytes.Buffer
@@ -93,7 +99,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody)); err != nil { // the connection serves again
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxPost)); err != nil { // the connection serves again
 		return err
 	}
 	if resp.StatusCode != http.StatusNoContent {
--- a/internal/node/notices_test.go
+++ b/internal/outbox/outbox_test.go
@@ -1,4 +1,4 @@
-package node
+package outbox
 
 import (
 	"context"
@@ -9,6 +9,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"harrierramp/internal/journal"
+	"harrierramp/internal/listwatch"
 )
 
 // A backlog of notices, as after a long outage of the platform, goes out whole in bodies that the protocol
@@ -28,14 +31,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 
-	var batch []notice
+	var batch []Notice
 	for range count {
-		batch = append(batch, newNotice(&past{id: strings.Repeat("<", 256), ended: &ending{after: time.Second}}))
+		batch = append(batch, NewNotice(&journal.Message{ID: strings.Repeat("<", 256), Ended: &journal.Ending{After: time.Second}}))
 	}
-	notices := make(chan []notice, 1)
+	notices := make(chan []Notice, 1)
 	notices <- batch
 	settled := 0
-	report(ctx, slog.New(slog.DiscardHandler), srv.Client(), newDiscovery([]string{srv.Listener.Addr().String()}), notices, func(done []notice) {
+	Run(ctx, slog.New(slog.DiscardHandler), srv.Client(), listwatch.NewAddresses([]string{srv.Listener.Addr().String()}), notices, func(done []Notice) {
 		if settled += len(done); settled >= count {
 			cancel()
 		}
@@ -45,7 +48,7 @@
 	}
 	close(sizes)
 	for n := range sizes {
-		if n > maxBody {
+		if n > maxPost {
 			t.Errorf("a body of %d bytes", n)
 		}
 	}
--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,207 @@
+// Package testkit is what the tests of several packages share: stand-in endpoints, a client, waits without a race.
+package testkit
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"harrierramp/internal/wire"
+)
+
+// Patience is how long a test waits
+const Patience = 30 * time.Second // nothing is asserted of how fast
+
+// Partner is an endpoint on a loopback socket. serve answers each request it reads; false closes the connection.
+type Partner struct {
+	ln    net.Listener
+	serve func(nc net.Conn, req *http.Request) bool
+
+	Mu    sync.Mutex
+	Calls []*http.Request
+	conns int
+	Came  chan *http.Request
+}
+
+// NewPartner serves until the test ends.
+func NewPartner(t *testing.T, serve func(nc net.Conn, req *http.Request) bool) *Partner {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &Partner{ln: ln, serve: serve, Came: make(chan *http.Request, 1000)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.Mu.Lock()
+			p.conns++
+			p.Mu.Unlock()
+			t.Cleanup(func() { nc.Close() })
+			go p.converse(nc)
+		}
+	}()
+	return p
+}
+
+func (p *Partner) converse(nc net.Conn) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		p.Mu.Lock()
+		p.Calls = append(p.Calls, req)
+		p.Mu.Unlock()
+		p.Came <- req
+		if !p.serve(nc, req) {
+			return
+		}
+	}
+}
+
+// Addr is where it listens.
+func (p *Partner) Addr() string { return p.ln.Addr().String() }
+
+// Counts are its calls and connections so far.
+func (p *Partner) Counts() (calls, conns int) {
+	p.Mu.Lock()
+	defer p.Mu.Unlock()
+	return len(p.Calls), p.conns
+}
+
+// Next waits for the next call.
+func (p *Partner) Next(t *testing.T) *http.Request {
+	t.Helper()
+	select {
+	case req := <-p.Came:
+		return req
+	case <-time.After(Patience):
+		t.Fatal("no call came")
+		return nil
+	}
+}
+
+// Says answers every request with text.
+func Says(text string) func(net.Conn, *http.Request) bool {
+	return func(nc net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(nc, text)
+		return err == nil
+	}
+}
+
+const Delivered = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Silent takes a request and never answers.
+func Silent(nc net.Conn, _ *http.Request) bool {
+	io.Copy(io.Discard, nc)
+	return false
+}
+
+// Eventually waits until ok says so, and fails the test if it never does.
+func Eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never: " + what)
+		}
+	}
+}
+
+var TestNames = wire.Names{Classes: []string{"notice"}, Tenants: []string{"acme", "globex"}}
+
+// DialTest connects to a node as a client.
+func DialTest(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	if err := nc.SetDeadline(time.Now().Add(Patience)); err != nil {
+		t.Fatal(err)
+	}
+	return nc, bufio.NewReader(nc)
+}
+
+// Resp writes words as an array of bulk strings.
+func Resp(words ...string) string {
+	var b strings.Builder
+	b.WriteString("*" + strconv.Itoa(len(words)) + "\r\n")
+	for _, w := range words {
+		b.WriteString("$" + strconv.Itoa(len(w)) + "\r\n" + w + "\r\n")
+	}
+	return b.String()
+}
+
+// Enqueue is the request that hands one message in.
+func Enqueue(id, fields, body string) string { return Resp("ENQUEUE", "0000", id, fields, body) }
+
+// Ask sends text on a connection of its own and returns the first line of the answer.
+func Ask(t *testing.T, addr, text string) string {
+	t.Helper()
+	nc, br := DialTest(t, addr)
+	if _, err := io.WriteString(nc, text); err != nil {
+		t.Fatal(err)
+	}
+	line, err := br.ReadString('\n')
+	if err != nil {
+		t.Fatalf("%.60q: %v", text, err)
+	}
+	return strings.TrimRight(line, "\r\n")
+}
+
+// MustSay sends text and fails the test unless the next line is want.
+func MustSay(t *testing.T, w io.Writer, br *bufio.Reader, text, want string) {
+	t.Helper()
+	if _, err := io.WriteString(w, text); err != nil {
+		t.Fatal(err)
+	}
+	if line, err := br.ReadString('\n'); line != want+"\r\n" {
+		t.Fatalf("%.60q: got %q, %v", text, fmt.Sprint(line), err)
+	}
+}
+
+// Operate makes one call at a door and returns its status and body.
+func Operate(t *testing.T, door, method, path string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+door+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// MustOperate makes one call at a door and fails the test unless it has this status.
+func MustOperate(t *testing.T, door, method, path string, want int) {
+	t.Helper()
+	if got, body := Operate(t, door, method, path); got != want {
+		t.Fatalf("%s %s: got %d %q, want %d", method, path, got, body, want)
+	}
+}
