--- /dev/null
+++ b/internal/partner/lease.go
@@ -0,0 +1,71 @@
+package partner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	leaseTime   = 6 * time.Second
+	leaseCall   = time.Second // for one call to a list server
+	maxLeaseSay = 64 << 10
+)
+
+// Instance is how an endpoint stands in the list.
+type Instance struct {
+	ID, Addr, Zone, Kind string
+	Dest                 int
+	Size                 float64
+}
+
+// Lease keeps an instance registered at the list service until ctx ends, and then withdraws it. It asks the next
+// server when one is out or is not the primary.
+func Lease(ctx context.Context, servers []string, i Instance) {
+	owner := fmt.Sprintf("%s.%d", i.ID, time.Now().UnixNano())
+	claim := fmt.Sprintf(`{"host_port":%q,"locality":%q,"flavor":%q,"cell":%d,"size":%g,"owner":%q,"lease_ms":%d}`,
+		i.Addr, i.Zone, i.Kind, i.Dest, i.Size, owner, leaseTime.Milliseconds())
+	for at := 0; ctx.Err() == nil; {
+		url := "http://" + servers[at] + "/registry/instances/" + i.ID
+		code := tell(ctx, http.MethodPost, url+"/renew", fmt.Sprintf(`{"owner":%q}`, owner))
+		if code == http.StatusNotFound {
+			code = tell(ctx, http.MethodPut, url, claim)
+		}
+		pause := leaseTime/4 + rand.N(leaseTime/8)
+		if code != http.StatusOK {
+			at, pause = (at+1)%len(servers), 50*time.Millisecond
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	bye, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaseCall)
+	defer cancel()
+	for _, s := range servers {
+		if tell(bye, http.MethodDelete, "http://"+s+"/registry/instances/"+i.ID, fmt.Sprintf(`{"owner":%q}`, owner)) == http.StatusNoContent {
+			return
+		}
+	}
+}
+
+// tell makes one call and returns its status, 0 if there was no answer.
+func tell(ctx context.Context, method, url, body string) int {
+	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxLeaseSay)) // so that the connection serves again
+	return resp.StatusCode
+}
