--- a/internal/admin/door.go
+++ b/internal/admin/door.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -27,6 +28,7 @@
 	ErrUnknownEndpoint = errors.New("no such endpoint")
 	ErrNotServing      = errors.New("this process does not serve now")
 	ErrNoMembership    = errors.New("membership is off")
+	ErrLogLevel        = errors.New("no such log level")
 	ErrNoPeers         = errors.New("the socket to the other nodes could not be opened")
 )
 
@@ -34,6 +36,8 @@
 type Operators interface {
 	Ready() bool
 	Stats() []byte
+	WriteMetrics(w io.Writer) error
+	SetLogLevel(name string) error
 	Members(ctx context.Context) (*View, error)
 	Disable(ctx context.Context, endpoint string) error
 	Enable(ctx context.Context, endpoint string) error
@@ -88,9 +92,22 @@
 	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		if _, err := w.Write(n.Stats()); err != nil {
-			log.Debug("figures not taken", "err", err)
+			log.Debug("stats_not_taken", "err", err)
 		}
 	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		if err := n.WriteMetrics(w); err != nil {
+			log.Debug("metrics_not_taken", "err", err)
+		}
+	})
+	mux.HandleFunc("PUT /ops/log/level", func(w http.ResponseWriter, r *http.Request) {
+		if err := n.SetLogLevel(r.URL.Query().Get("level")); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
 	mux.HandleFunc("GET /ops/members", func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), orderWait)
 		defer cancel()
@@ -105,7 +122,7 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(v); err != nil {
-			log.Debug("members not taken", "err", err)
+			log.Debug("members_not_taken", "err", err)
 		}
 	})
 	mux.HandleFunc("PUT /ops/endpoints/down", endpoint(n.Disable))
@@ -123,7 +140,7 @@
 // Serve answers until close.
 func (d *door) Serve() {
 	if err := d.srv.Serve(d.ln); !errors.Is(err, http.ErrServerClosed) {
-		d.log.Error("the operators' door is shut", "err", err)
+		d.log.Error("door_shut", "err", err)
 	}
 }
 
@@ -132,7 +149,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), doorGrace)
 	defer cancel()
 	if err := d.srv.Shutdown(ctx); err != nil {
-		d.log.Debug("operators' calls cut off", "err", errors.Join(err, d.srv.Close()))
+		d.log.Debug("door_calls_cut", "err", errors.Join(err, d.srv.Close()))
 	}
 }
 
--- a/internal/admin/door_test.go
+++ b/internal/admin/door_test.go
@@ -17,6 +17,8 @@
 
 func (f fakeOperators) Ready() bool                           { return f.no == nil }
 func (f fakeOperators) Stats() []byte                         { return []byte("router.active:14|g\n") }
+func (f fakeOperators) WriteMetrics(w io.Writer) error        { return f.no }
+func (f fakeOperators) SetLogLevel(string) error              { return f.no }
 func (f fakeOperators) Disable(context.Context, string) error { return f.no }
 func (f fakeOperators) Enable(context.Context, string) error  { return f.no }
 func (f fakeOperators) Members(context.Context) (*View, error) {
@@ -62,6 +64,9 @@
 		{"PUT", "/ops/drain/start", nil, 204},
 		{"PUT", "/ops/drain/stop", nil, 204},
 		{"PUT", "/ops/drain", nil, 404},
+		{"GET", "/metrics", nil, 200},
+		{"PUT", "/ops/log/level?level=debug", nil, 204},
+		{"PUT", "/ops/log/level", ErrLogLevel, 400},
 		{"GET", "/", nil, 404},
 	} {
 		if got, body := testkit.Operate(t, openDoor(t, fakeOperators{c.no}), c.method, c.path); got != c.want {
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,125 @@
+// Package cli is the command line of harrierramp. It decides nothing: each command reads its flags and calls the
+// package that does the work.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/agnivade/levenshtein"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+)
+
+// The exit statuses.
+const (
+	statusFailed = 1 // the command did not do what it was asked
+	statusUsage  = 2 // the command line is wrong
+)
+
+// usageError is a fault of the command line.
+type usageError struct{ error }
+
+// Main runs a command line and returns the exit status. Without arguments, and with a configuration in the
+// environment, it is a node, as the platform starts it.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var err error
+	if len(args) == 0 && os.Getenv("ROUTER_CONFIG") != "" {
+		err = serve(serveOptions{}, stderr)
+	} else {
+		root := newRoot()
+		root.SetArgs(args)
+		root.SetOut(stdout)
+		root.SetErr(stderr)
+		err = root.Execute()
+	}
+	switch _, usage := errors.AsType[usageError](err); {
+	case err == nil:
+		return 0
+	case usage:
+		fmt.Fprintf(stderr, "harrierramp: %v\n", err)
+		return statusUsage
+	}
+	for line := range strings.Lines(err.Error()) {
+		fmt.Fprintf(stderr, "harrierramp: %s\n", strings.TrimRight(line, "\n"))
+	}
+	return statusFailed
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "harrierramp",
+		Short: "Takes messages from clients, keeps them safe, and delivers each to its partner by one HTTP call",
+		Long: `harrierramp is a delivery node and what belongs to it: the list service, the operators' tools and a demonstration.
+Without arguments, and with ROUTER_CONFIG in the environment, it serves as a node.`,
+		Example:       "  harrierramp demo\n  harrierramp config example > node.toml\n  harrierramp serve --config node.toml",
+		SilenceErrors: true, SilenceUsage: true, SuggestionsMinimumDistance: 3,
+		Args: noUnknown, RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error {
+		return usageError{fmt.Errorf("%w%s; see '%s --help'", err, nearestFlag(c, err.Error()), c.CommandPath())}
+	})
+	root.AddCommand(newServe(), newRegistry(), newConfig(), newOps(), newJournal(), newDemo(), newVersion())
+	return root
+}
+
+// noUnknown refuses words that are no command, with the nearest that is.
+func noUnknown(c *cobra.Command, args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	hint := ""
+	if near := c.SuggestionsFor(args[0]); len(near) > 0 {
+		hint = fmt.Sprintf("; did you mean %q?", near[0])
+	}
+	return usageError{fmt.Errorf("unknown command %q for %q%s", args[0], c.CommandPath(), hint)}
+}
+
+// exactly asks for arguments with these names.
+func exactly(names ...string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) != len(names) {
+			return usageError{fmt.Errorf("%s needs %s; see '%s --help'", c.CommandPath(), strings.Join(names, " and "), c.CommandPath())}
+		}
+		return nil
+	}
+}
+
+// none refuses arguments.
+func none(c *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return usageError{fmt.Errorf("%s takes no argument %q; see '%s --help'", c.CommandPath(), args[0], c.CommandPath())}
+	}
+	return nil
+}
+
+// group is a command that only has others under it.
+func group(use, short, example string, subs ...*cobra.Command) *cobra.Command {
+	c := &cobra.Command{
+		Use: use, Short: short, Example: example, Args: noUnknown, SuggestionsMinimumDistance: 3,
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.AddCommand(subs...)
+	return c
+}
+
+// nearestFlag suggests a flag for one that is not known.
+func nearestFlag(c *cobra.Command, text string) string {
+	_, wrong, ok := strings.Cut(text, "unknown flag: --")
+	if !ok {
+		return ""
+	}
+	best, least := "", 4
+	c.Flags().VisitAll(func(f *pflag.Flag) {
+		if d := levenshtein.ComputeDistance(wrong, f.Name); d < least {
+			best, least = f.Name, d
+		}
+	})
+	if best == "" {
+		return ""
+	}
+	return "; did you mean --" + best + "?"
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,165 @@
+// Package config is what a node is told at its start: by the platform as JSON, by people as TOML, and by the
+// environment and the command line over both. All are read into one structure, whose tags give each value's name,
+// default, bounds and meaning; the example, the schema and the checks are made from the same tags.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"harrierramp/choice"
+	"harrierramp/internal/listwatch"
+	"harrierramp/internal/membership"
+	"harrierramp/internal/units"
+	"harrierramp/internal/wire"
+)
+
+// Config is what a node is told. The json tags are the platform's names, the toml tags those for people.
+type Config struct {
+	Name       string          `json:"name" toml:"name" default:"node" need:"yes" doc:"the node's name, the same after a restart"`
+	Listen     string          `json:"listen" toml:"listen" default:"127.0.0.1:6379" need:"yes" check:"address" doc:"where clients connect (RESP2)"`
+	State      string          `json:"-" toml:"state" need:"yes" doc:"the folder that outlasts the process; it must exist"`
+	Console    string          `json:"console" toml:"door" check:"address" doc:"the operators' door; none if empty"`
+	Discovery  string          `json:"discovery" toml:"discovery" check:"address" reload:"yes" doc:"the platform's list of endpoints, where notices go as well"`
+	Seed       string          `json:"seed" toml:"seed" doc:"for random numbers, hexadecimal; drawn at each start if empty"`
+	PeerListen string          `json:"peer_listen" toml:"peer_listen" check:"address" doc:"where datagrams of other nodes come"`
+	Peers      []string        `json:"peers" toml:"peers" check:"address" doc:"all nodes by their numbers, this one too"`
+	Limits     Limits          `json:"limits" toml:"limits"`
+	Log        Log             `json:"log" toml:"log"`
+	Registry   *ListService    `json:"registry" toml:"registry" doc:"the project's own list service, in place of discovery"`
+	Membership *Membership     `json:"membership" toml:"membership" doc:"nodes tell each other who is there"`
+	Deployment wire.Conf       `json:"settings" toml:"delivery"`
+	Known      listwatch.List  `json:"known" toml:"-"` // the list as the node last held it
+	Settings   choice.Settings `json:"-" toml:"-"`     // Deployment, for the module
+	Names      wire.Names      `json:"-" toml:"-"`     // of Deployment
+}
+
+// Limits are what the process may use. Zero means not given.
+type Limits struct {
+	Cores   float64 `json:"cores" toml:"cores" default:"1" min:"0.05" max:"1024" doc:"of processor time"`
+	Memory  MiB     `json:"memory_mb" toml:"memory" default:"192MiB" min:"16MiB" max:"64GiB" doc:"over it the platform kills the node"`
+	Sockets int     `json:"sockets" toml:"sockets" default:"1024" min:"64" max:"1000000" doc:"descriptors; clients get a third"`
+	Disk    MiB     `json:"disk_mb" toml:"disk" default:"3MiB" min:"512KiB" max:"64GiB" doc:"of the lasting folder"`
+}
+
+// Log is what is logged, and how.
+type Log struct {
+	Level  string `json:"level" toml:"level" default:"info" one:"debug info warn error" reload:"yes" doc:"the least that is logged"`
+	Format string `json:"format" toml:"format" default:"text" one:"text json" doc:"of the lines"`
+}
+
+// ListService is the section for the project's own list service. Its servers tell the same list, with revisions that
+// only rise, whichever of them is asked.
+type ListService struct {
+	Addresses []string `json:"addresses" toml:"addresses" check:"address" reload:"yes" doc:"of all its servers, in any order"`
+	Keep      bool     `json:"keep" toml:"keep" doc:"keep the last good list in the lasting folder"`
+}
+
+// Membership is the section by which nodes tell each other who is there.
+type Membership struct {
+	Period  units.Millis `json:"period_ms" toml:"period" default:"500ms" doc:"between pings; 50 ms to 1 min"`
+	Timeout units.Millis `json:"timeout_ms" toml:"timeout" doc:"for an answer, before others are asked; at most half of the period; 0s for a third of it, and 150 ms at most"`
+}
+
+const (
+	maxListServers     = 16
+	defaultPing        = 500 * time.Millisecond
+	defaultPingTimeout = 150 * time.Millisecond
+	leastPing          = 50 * time.Millisecond
+	mostPing           = time.Minute
+	leastSockets       = 64
+	leastMemory        = MiB(16)
+)
+
+// finish derives what the rest of the program reads, and checks what hangs together.
+func (c *Config) finish() error {
+	var err error
+	if c.Settings, err = c.Deployment.Settings(); err != nil {
+		return err
+	}
+	c.Names = c.Deployment.Names()
+	return errors.Join(c.Limits.check(), c.Registry.check(), c.Membership.check(c))
+}
+
+// check tells what is too small to run with. Zero is no limit.
+func (l Limits) check() error {
+	if l.Sockets > 0 && l.Sockets < leastSockets {
+		return fmt.Errorf("limits.sockets is %d: a node needs %d", l.Sockets, leastSockets)
+	}
+	if l.Memory > 0 && l.Memory < leastMemory {
+		return fmt.Errorf("limits.memory is %v MiB: a node needs %v", float64(l.Memory), float64(leastMemory))
+	}
+	return nil
+}
+
+// DiscoveryAt is where the list is to be had and notices are taken.
+func (c *Config) DiscoveryAt() []string {
+	if c.Registry != nil {
+		return c.Registry.Addresses
+	}
+	return []string{c.Discovery}
+}
+
+func (s *ListService) check() error {
+	if s == nil {
+		return nil
+	}
+	if len(s.Addresses) == 0 || len(s.Addresses) > maxListServers {
+		return fmt.Errorf("registry.addresses names %d servers: from 1 to %d", len(s.Addresses), maxListServers)
+	}
+	for i, addr := range s.Addresses {
+		if _, port, err := net.SplitHostPort(addr); err != nil || port == "" {
+			return fmt.Errorf("registry.addresses: %q is no address with a port", addr)
+		}
+		if slices.Contains(s.Addresses[:i], addr) {
+			return fmt.Errorf("registry.addresses names %s twice", addr)
+		}
+	}
+	return nil
+}
+
+func (m *Membership) check(c *Config) error {
+	if m == nil {
+		return nil
+	}
+	if c.PeerListen == "" || len(c.Peers) < 2 || !c.Settings.MayTell {
+		return errors.New("membership needs peer_listen, peers, and settings that allow notes")
+	}
+	if c.Settings.Number < 0 || c.Settings.Number >= len(c.Peers) {
+		return fmt.Errorf("membership: number %d is none of %d peers", c.Settings.Number, len(c.Peers))
+	}
+	seen := map[membership.ID]string{}
+	for _, addr := range c.Peers {
+		id := membership.IDOf(addr)
+		if before, ok := seen[id]; ok {
+			return fmt.Errorf("membership: the peers %s and %s can't be told apart", before, addr)
+		}
+		seen[id] = addr
+	}
+	if p := m.PingPeriod(); p < leastPing || p > mostPing {
+		return fmt.Errorf("membership.period_ms is %v: from %d to %d", m.Period, leastPing.Milliseconds(), mostPing.Milliseconds())
+	}
+	if t := m.PingTimeout(); t <= 0 || t > m.PingPeriod()/2 {
+		return fmt.Errorf("membership.timeout_ms is %v: over 0, at most half of the period", m.Timeout)
+	}
+	return nil
+}
+
+// PingPeriod is the pause between pings.
+func (m *Membership) PingPeriod() time.Duration {
+	if m.Period == 0 {
+		return defaultPing
+	}
+	return m.Period.Duration()
+}
+
+// PingTimeout is how long an answer may take before others are asked.
+func (m *Membership) PingTimeout() time.Duration {
+	if m.Timeout == 0 {
+		return min(defaultPingTimeout, m.PingPeriod()/3)
+	}
+	return m.Timeout.Duration()
+}
--- /dev/null
+++ b/internal/config/lines.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// keyLines tells at which line of a TOML text each key and table stands. A table in a list has its number in the path:
+// delivery.class[1].aim.
+func keyLines(raw []byte) map[string]int {
+	lines, counts := map[string]int{}, map[string]int{}
+	var p unstable.Parser
+	p.Reset(raw)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		parts, line := []string{}, 0
+		for it := e.Key(); it.Next(); {
+			k := it.Node()
+			parts = append(parts, string(k.Data))
+			if line == 0 {
+				line = p.Shape(k.Raw).Start.Line
+			}
+		}
+		path := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			table = numbered(path, counts)
+			lines[table] = line
+		case unstable.ArrayTable:
+			at := numbered(path, counts)
+			table = fmt.Sprintf("%s[%d]", at, counts[at])
+			counts[at]++
+			lines[table] = line
+		case unstable.KeyValue:
+			if table != "" {
+				path = table + "." + path
+			}
+			lines[path] = line
+		}
+	}
+	return lines
+}
+
+// numbered puts the number of the last table into each part of a path that is a list of tables.
+func numbered(path string, counts map[string]int) string {
+	out := ""
+	parts := strings.Split(path, ".")
+	for i, part := range parts {
+		if out != "" {
+			out += "."
+		}
+		out += part
+		if n := counts[out]; n > 0 && i < len(parts)-1 {
+			out += fmt.Sprintf("[%d]", n-1)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/config/print.go
@@ -0,0 +1,203 @@
+package config
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/invopop/jsonschema"
+)
+
+// Example writes a whole configuration with every value, its meaning, bounds and default. What has a default is
+// commented out; what has none is filled in so that the result can be loaded once state is a folder that exists.
+func Example(w io.Writer) error {
+	sample := map[string]string{
+		"state": `"/var/lib/harrierramp"`, "discovery": `"127.0.0.1:8500"`,
+		"delivery.class[].name": `"notice"`, "delivery.class[].aim": `"4s"`, "delivery.class[].deadline": `"30s"`,
+		"delivery.class[].effect": `"idempotent"`, "delivery.class[].worth": "1.0", "delivery.class[].late_worth": "0.3",
+		"delivery.tenant[].name": `"acme"`, "delivery.tenant[].per_second": "100.0",
+		"delivery.zones": `["a", "b"]`, "delivery.kinds": `["employer"]`,
+	}
+	b := &strings.Builder{}
+	b.WriteString("# A node of harrierramp. 'harrierramp config check FILE' tells what is wrong with one.\n")
+	table, off := "", ""
+	for _, f := range fields() {
+		at, name := "", f.path
+		if i := strings.LastIndexByte(f.path, '.'); i >= 0 {
+			at, name = f.path[:i], f.path[i+1:]
+		}
+		if at != table {
+			if off = ""; f.optional != "" {
+				off = "# "
+			}
+			head := "[" + at + "]"
+			if list, ok := strings.CutSuffix(at, "[]"); ok {
+				head = "[[" + list + "]]"
+			}
+			fmt.Fprintf(b, "\n%s%s\n", off, head)
+			table = at
+		}
+		fmt.Fprintf(b, "# %s%s\n", f.tag.Get("doc"), f.bounds())
+		value, ok := sample[f.path]
+		lead := off
+		if !ok {
+			lead = "# "
+			v := reflect.New(f.typ).Elem()
+			if d := f.tag.Get("default"); d != "" {
+				if err := parseInto(v, d); err != nil {
+					return err
+				}
+			}
+			value = show(v)
+		}
+		fmt.Fprintf(b, "%s%s = %s\n", lead, name, value)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// bounds are what the tags say of the field's values.
+func (f field) bounds() string {
+	switch {
+	case f.tag.Get("min") != "":
+		return fmt.Sprintf(" (%s to %s)", f.tag.Get("min"), f.tag.Get("max"))
+	case f.tag.Get("one") != "":
+		return fmt.Sprintf(" (%s)", strings.Join(strings.Fields(f.tag.Get("one")), ", "))
+	}
+	return ""
+}
+
+// Show writes the configuration that holds, a line a value, with its origin if that is asked for. The seed, from which
+// a node's random numbers could be foretold, is left out.
+func (l *Loaded) Show(w io.Writer, origin bool) error {
+	return l.each(func(path string, v reflect.Value, _ reflect.StructTag) error {
+		if path == "seed" {
+			return nil
+		}
+		from := ""
+		if origin {
+			if from = l.Origin[path]; from == "" {
+				from = "not given"
+			}
+			from = "  # " + from
+		}
+		_, err := fmt.Fprintf(w, "%s = %s%s\n", path, show(v), from)
+		return err
+	})
+}
+
+// each visits every value that has a place; those of absent sections have none.
+func (l *Loaded) each(visit func(path string, v reflect.Value, tag reflect.StructTag) error) error {
+	var walk func(v reflect.Value, prefix string) error
+	walk = func(v reflect.Value, prefix string) error {
+		for i := range v.NumField() {
+			t := v.Type().Field(i)
+			name := t.Tag.Get("toml")
+			if name == "-" || name == "" {
+				continue
+			}
+			at, path := v.Field(i), prefix+name
+			if at.Kind() == reflect.Pointer {
+				if at.IsNil() {
+					continue
+				}
+				at = at.Elem()
+			}
+			var err error
+			switch {
+			case isTable(at.Type()):
+				err = walk(at, path+".")
+			case at.Kind() == reflect.Slice && isTable(at.Type().Elem()):
+				for n := 0; n < at.Len() && err == nil; n++ {
+					err = walk(at.Index(n), fmt.Sprintf("%s[%d].", path, n))
+				}
+			default:
+				err = visit(path, at, t.Tag)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return walk(reflect.ValueOf(&l.Config).Elem(), "")
+}
+
+// Moved compares a configuration that has replaced this one: the values that differ and may be taken by a running
+// node, and those that only a start reads.
+func (l *Loaded) Moved(next *Loaded) (taken, kept []string) {
+	values := func(l *Loaded) (map[string]string, map[string]bool) {
+		texts, reload := map[string]string{}, map[string]bool{}
+		_ = l.each(func(path string, v reflect.Value, tag reflect.StructTag) error { // visit has no error
+			texts[path], reload[path] = show(v), tag.Get("reload") != ""
+			return nil
+		})
+		return texts, reload
+	}
+	before, was := values(l)
+	after, is := values(next)
+	for _, f := range sortedUnion(before, after) {
+		switch {
+		case before[f] == after[f] || f == "seed": // the platform writes a new one with each start
+		case was[f] && is[f]:
+			taken = append(taken, f)
+		default:
+			kept = append(kept, f)
+		}
+	}
+	return taken, kept
+}
+
+// Schema is the JSON schema of the TOML form.
+func Schema() ([]byte, error) {
+	r := jsonschema.Reflector{
+		FieldNameTag: "toml", ExpandedStruct: true, DoNotReference: true, RequiredFromJSONSchemaTags: true, Anonymous: true,
+		Mapper: func(t reflect.Type) *jsonschema.Schema {
+			if reflect.PointerTo(t).Implements(textType) {
+				return &jsonschema.Schema{Type: "string"}
+			}
+			return nil
+		},
+	}
+	s := r.Reflect(&Config{})
+	s.Title, s.Description = "harrierramp", "a node's configuration"
+	for _, f := range fields() {
+		describe(s, strings.Split(f.path, "."), f)
+	}
+	return s.MarshalJSON()
+}
+
+// describe puts what a field's tags say into its place in the schema.
+func describe(s *jsonschema.Schema, path []string, f field) {
+	name, listed := strings.CutSuffix(path[0], "[]")
+	p, ok := s.Properties.Get(name)
+	if !ok {
+		return
+	}
+	if listed {
+		p = p.Items
+	}
+	if len(path) > 1 {
+		describe(p, path[1:], f)
+		return
+	}
+	p.Description = f.tag.Get("doc") + f.bounds()
+	if d := f.tag.Get("default"); d != "" {
+		p.Default = d
+	}
+	for _, one := range strings.Fields(f.tag.Get("one")) {
+		p.Enum = append(p.Enum, one)
+	}
+	if f.tag.Get("need") != "" && f.tag.Get("default") == "" {
+		s.Required = append(s.Required, name)
+	}
+}
+
+func sortedUnion(a, b map[string]string) []string {
+	all := maps.Clone(a)
+	maps.Copy(all, b)
+	return slices.Sorted(maps.Keys(all))
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,369 @@
+// Package demo plays a small fleet on loopback: a list service, three nodes and stand-in partners with limits, a few
+// seconds of traffic, and one partner that shuts and comes back. It starts its own processes and ends them, and no
+// others.
+package demo
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"harrierramp/internal/client"
+	"harrierramp/internal/partner"
+)
+
+// Options are what may be changed. Zero values are taken as the defaults.
+type Options struct {
+	Program string        // of the nodes; this one if empty
+	For     time.Duration // of traffic; 6 s, 1 min at most
+	Rate    float64       // messages a second at each node; 40, 500 at most
+	Out     io.Writer     // for people
+	Log     io.Writer     // of the processes; nil to drop it
+}
+
+const (
+	nodes     = 3
+	life      = 8 * time.Second // of a message
+	startWait = 10 * time.Second
+	endWait   = life + 5*time.Second // until the last message has its end
+	settle    = 5 * time.Second      // for a process to end after SIGTERM
+)
+
+// Result is what came of the messages.
+type Result struct {
+	HandedIn, Taken, Refused, Delivered, Returned, Failed, Lost, Repeated int
+	FirstDelivered                                                        time.Duration // since the start of the demonstration
+}
+
+type fleet struct {
+	Options
+	began     time.Time
+	list      string   // the list service's address
+	addrs     []string // of the nodes
+	doors     []string
+	ledger    *partner.Ledger
+	partners  []*partner.Partner
+	processes []*exec.Cmd
+	logs      sync.WaitGroup
+}
+
+// Run plays the demonstration and prints its table.
+func Run(ctx context.Context, o Options) (r Result, err error) {
+	if o.For <= 0 || o.For > time.Minute {
+		o.For = 6 * time.Second
+	}
+	if o.Rate <= 0 || o.Rate > 500 {
+		o.Rate = 40
+	}
+	if o.Program == "" {
+		if o.Program, err = os.Executable(); err != nil {
+			return r, fmt.Errorf("demo: %w", err)
+		}
+	}
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	f := &fleet{Options: o, began: time.Now(), ledger: partner.NewLedger()}
+	dir, err := os.MkdirTemp("", "harrierramp-demo-")
+	if err != nil {
+		return r, fmt.Errorf("demo: %w", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var leases sync.WaitGroup
+	defer func() {
+		cancel()
+		leases.Wait()
+		err = errors.Join(err, f.close(), os.RemoveAll(dir))
+	}()
+	if err := f.start(ctx, dir, &leases); err != nil {
+		return r, fmt.Errorf("demo: %w", err)
+	}
+	r, err = f.play(ctx)
+	if err != nil {
+		return r, fmt.Errorf("demo: %w", err)
+	}
+	return r, f.print(r)
+}
+
+// start brings up the list service, the partners and the nodes.
+func (f *fleet) start(ctx context.Context, dir string, leases *sync.WaitGroup) error {
+	free, err := freeAddrs(2*nodes + 1)
+	if err != nil {
+		return err
+	}
+	f.list, f.addrs, f.doors = free[0], free[1:nodes+1], free[nodes+1:]
+	listDir := filepath.Join(dir, "list")
+	if err := os.Mkdir(listDir, 0o700); err != nil {
+		return err
+	}
+	if err := f.spawn("registry", "--state", listDir, "--listen", f.list, "--bootstrap", "--log-level", "warn"); err != nil {
+		return err
+	}
+	fmt.Fprintf(f.Out, "list service at %s\n", f.list)
+	for i, cfg := range []partner.Config{
+		{ID: "portal-1", Latency: 20 * time.Millisecond},
+		{ID: "portal-2", Latency: 40 * time.Millisecond},
+		{ID: "employer-1", Rate: 25, Burst: 5, Latency: 60 * time.Millisecond},
+		{ID: "employer-2", Latency: 30 * time.Millisecond},
+	} {
+		p, err := partner.Start(cfg, f.ledger)
+		if err != nil {
+			return err
+		}
+		f.partners = append(f.partners, p)
+		dest := max(0, i-1) // the two portals are one destination
+		leases.Go(func() {
+			partner.Lease(ctx, []string{f.list}, partner.Instance{
+				ID: cfg.ID, Addr: p.Addr(), Zone: "a", Kind: "partner", Dest: dest, Size: 1,
+			})
+		})
+		fmt.Fprintf(f.Out, "partner %s at %s takes messages for destination %d\n", cfg.ID, p.Addr(), dest)
+	}
+	for i, addr := range f.addrs {
+		name := fmt.Sprintf("n%d", i+1)
+		state := filepath.Join(dir, name)
+		file := state + ".toml"
+		if err := errors.Join(os.Mkdir(state, 0o700), os.WriteFile(file, []byte(nodeConfig(name, addr, f.doors[i], f.list, state)), 0o600)); err != nil {
+			return err
+		}
+		if err := f.spawn("serve", "--config", file); err != nil {
+			return err
+		}
+	}
+	for i, addr := range f.addrs {
+		for end := time.Now().Add(startWait); !f.knows(ctx, f.doors[i]); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) || ctx.Err() != nil {
+				return fmt.Errorf("node %d at %s is not ready", i+1, addr)
+			}
+		}
+		fmt.Fprintf(f.Out, "node n%d at %s, its operators' door at %s\n", i+1, addr, f.doors[i])
+	}
+	return nil
+}
+
+func nodeConfig(name, listen, door, list, state string) string {
+	return fmt.Sprintf(`name = %q
+listen = %q
+door = %q
+state = %q
+[registry]
+addresses = [%q]
+keep = true
+[delivery]
+fleet_size = %d
+zones = ["a"]
+kinds = ["partner"]
+[delivery.limits]
+overlap = false
+[[delivery.class]]
+name = "notice"
+aim = "2s"
+deadline = %q
+effect = "idempotent"
+worth = 1.0
+late_worth = 0.3
+`, name, listen, door, state, list, nodes, life.String())
+}
+
+// knows tells that the node behind a door serves and has heard of all partners.
+func (f *fleet) knows(ctx context.Context, door string) bool {
+	text, err := get(ctx, "http://"+door+"/ops/stats")
+	return err == nil && strings.Contains(text, fmt.Sprintf("router.pool_size:%d|", len(f.partners)))
+}
+
+func get(ctx context.Context, url string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	return string(text), err
+}
+
+// spawn starts one process of ours.
+func (f *fleet) spawn(args ...string) error {
+	cmd := exec.Command(f.Program, args...)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG=", "ROUTER_STATE=", "ROUTER_CONSOLE=")
+	pipe, err := cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	f.processes = append(f.processes, cmd)
+	f.logs.Go(func() { io.Copy(f.Log, pipe) })
+	return nil
+}
+
+// close ends what was started, and nothing else.
+func (f *fleet) close() error {
+	var errs []error
+	for _, p := range f.processes {
+		if err := p.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			errs = append(errs, err)
+		}
+	}
+	slow := time.AfterFunc(settle, func() {
+		for _, p := range f.processes {
+			p.Process.Kill() // one that has ended is no error here
+		}
+	})
+	defer slow.Stop()
+	f.logs.Wait() // a pipe is read to its end before the process is waited for
+	for _, p := range f.processes {
+		if err := p.Wait(); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", strings.Join(p.Args[1:], " "), err))
+		}
+	}
+	for _, p := range f.partners {
+		p.Close()
+	}
+	return errors.Join(errs...)
+}
+
+// play hands messages in while a partner shuts and comes back, and waits until each has its end.
+func (f *fleet) play(ctx context.Context) (Result, error) {
+	var r Result
+	var mu sync.Mutex
+	taken := map[string]bool{}
+	until := time.Now().Add(f.For)
+	out := f.partners[len(f.partners)-1]
+	var senders sync.WaitGroup
+	for n, addr := range f.addrs {
+		senders.Go(func() {
+			c := client.New(addr, 0)
+			defer c.Close()
+			due := time.Now()
+			for i := 0; due.Before(until) && ctx.Err() == nil; i++ {
+				time.Sleep(time.Until(due))
+				due = due.Add(time.Duration(float64(time.Second) / f.Rate))
+				id := fmt.Sprintf("demo-%d-%06d", n+1, i)
+				a, _, _ := c.Enqueue(client.Message{ID: id, Class: "notice", Dest: i % 3, Life: life, Body: []byte("hello")})
+				mu.Lock()
+				r.HandedIn++
+				switch a {
+				case client.Taken:
+					taken[id] = true
+				case client.Busy:
+					r.Refused++
+				case client.Failed:
+					r.Failed++
+				case client.Unheard:
+					r.Lost++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	pause(ctx, f.For/3)
+	fmt.Fprintln(f.Out, "partner employer-2 shuts")
+	out.Shut(true)
+	pause(ctx, f.For/3)
+	fmt.Fprintln(f.Out, "partner employer-2 is back")
+	out.Shut(false)
+	senders.Wait()
+	r.Taken = len(taken)
+	notices := map[string]string{}
+	for end := time.Now().Add(endWait); ctx.Err() == nil; pause(ctx, 100*time.Millisecond) {
+		if err := f.notices(ctx, notices); err != nil {
+			return r, err
+		}
+		open := 0
+		for id := range taken {
+			if f.ledger.Runs(id) == 0 && notices[id] == "" {
+				open++
+			}
+		}
+		if open == 0 || time.Now().After(end) {
+			r.Lost += open
+			break
+		}
+	}
+	for id := range taken {
+		switch {
+		case f.ledger.Runs(id) > 0:
+			r.Delivered++
+		case notices[id] == "returned":
+			r.Returned++
+		case notices[id] == "failed":
+			r.Failed++
+		}
+	}
+	_, r.Repeated = f.ledger.Counts()
+	if first := f.ledger.First(); !first.IsZero() {
+		r.FirstDelivered = first.Sub(f.began)
+	}
+	return r, ctx.Err()
+}
+
+// notices reads what nodes have told the platform's side of messages that are not delivered.
+func (f *fleet) notices(ctx context.Context, into map[string]string) error {
+	text, err := get(ctx, "http://"+f.list+"/reports?after=0")
+	if err != nil {
+		return err
+	}
+	lines := bufio.NewScanner(strings.NewReader(text))
+	for lines.Scan() {
+		var n struct{ ID, State string }
+		if err := json.Unmarshal(lines.Bytes(), &n); err != nil {
+			return fmt.Errorf("notices: %w", err)
+		}
+		into[n.ID] = n.State
+	}
+	return lines.Err()
+}
+
+func (f *fleet) print(r Result) error {
+	w := tabwriter.NewWriter(f.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(f.Out, "\nfirst message delivered after %.2f s\n\n", r.FirstDelivered.Seconds())
+	for _, row := range []struct {
+		name  string
+		count int
+	}{
+		{"handed in", r.HandedIn}, {"taken on", r.Taken}, {"delivered", r.Delivered}, {"refused at once", r.Refused},
+		{"returned later", r.Returned}, {"failed", r.Failed}, {"lost", r.Lost}, {"repeated", r.Repeated},
+	} {
+		fmt.Fprintf(w, "%s\t%d\t\n", row.name, row.count)
+	}
+	return w.Flush()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// freeAddrs are addresses of loopback that nobody listens on.
+func freeAddrs(count int) ([]string, error) {
+	var out []string
+	for range count {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		out = append(out, ln.Addr().String())
+	}
+	return out, nil
+}
--- a/internal/handover/acquire.go
+++ b/internal/handover/acquire.go
@@ -122,3 +122,23 @@
 	}
 	return fmt.Sprintf("/proc/self/fd/%d/%s", f.Fd(), socketName), func() { f.Close() }, nil
 }
+
+// Held tells whether a process owns the folder now. It changes nothing.
+func Held(dir string) (bool, error) {
+	f, err := os.Open(filepath.Join(dir, lockName))
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("ownership: %w", err)
+	}
+	defer f.Close() // gives back the lock that a free folder lets us have
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return true, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("ownership: %w", err)
+	}
+	return false, nil
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -41,6 +41,7 @@
 
 var (
 	errDiskBudget  = errors.New("the journal's share of the disk is used up")
+	errDamaged     = errors.New("a record")
 	errJournalDown = errors.New("journal: it could not be written a moment ago")
 )
 
@@ -53,6 +54,7 @@
 	Dest     int
 	Body     []byte
 	Deadline time.Time
+	Came     time.Time // when it was handed in; zero after a restart, for it is not kept
 	Sends    []Send
 	Ended    *Ending
 }
@@ -87,6 +89,9 @@
 	next    uint64
 	broken  bool // the file lacks records of what is live; only a new file will do
 	retryAt time.Time
+
+	// Appended, if it is set, hears how long each write took.
+	Appended func(time.Duration)
 }
 
 // Open replays the journal in dir, as far as its records are whole.
@@ -104,19 +109,24 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	j.f = f
-	r := bufio.NewReaderSize(f, 64<<10)
+	j.replay(f) // to a torn tail at the most: what it would have guarded was not done
+	if err := j.rewind(); err != nil {
+		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
+	}
+	return j, nil
+}
+
+// replay applies the records of r as far as they are whole. Its error is io.EOF after the last one.
+func (j *Journal) replay(r io.Reader) error {
+	buffered := bufio.NewReaderSize(r, 64<<10)
 	for {
-		payload, err := readRecord(r)
+		payload, err := readRecord(buffered)
 		if err != nil {
-			break // the end, or a torn tail: what it would have guarded was not done
+			return err
 		}
 		j.apply(payload)
 		j.written += int64(recordHead + len(payload))
 	}
-	if err := j.rewind(); err != nil {
-		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
-	}
-	return j, nil
 }
 
 func (j *Journal) path() string { return filepath.Join(j.dir, journalName) }
@@ -128,14 +138,16 @@
 	}
 	n := binary.LittleEndian.Uint32(head[:])
 	if n == 0 || n > maxRecord {
-		return nil, errors.New("a record of impossible length")
+		return nil, fmt.Errorf("%w: of impossible length", errDamaged)
 	}
 	payload := make([]byte, n)
-	if _, err := io.ReadFull(r, payload); err != nil {
+	if _, err := io.ReadFull(r, payload); errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	} else if err != nil {
 		return nil, err
 	}
 	if crc32.ChecksumIEEE(payload) != binary.LittleEndian.Uint32(head[4:]) {
-		return nil, errors.New("a record with a wrong checksum")
+		return nil, fmt.Errorf("%w: with a wrong checksum", errDamaged)
 	}
 	return payload, nil
 }
@@ -314,7 +326,12 @@
 	if j.broken || after+j.held > j.budget || (after > minCompact && after > 4*j.held) {
 		return j.compact()
 	}
-	if _, err := j.f.WriteAt(j.pending, j.written); err != nil {
+	began := time.Now()
+	_, err := j.f.WriteAt(j.pending, j.written)
+	if j.Appended != nil {
+		j.Appended(time.Since(began))
+	}
+	if err != nil {
 		// Whole records of what is not going to be done must not be found at the next start.
 		j.pending, j.broken = nil, true
 		return fmt.Errorf("journal: %w", errors.Join(err, j.rewind()))
--- a/internal/listwatch/discovery.go
+++ b/internal/listwatch/discovery.go
@@ -113,7 +113,7 @@
 			w.Pause.Reset() // it has moved, or the node ends
 		} else {
 			w.Turned()
-			w.Log.Debug("watch ended", "addr", addr, "err", err)
+			w.Log.Debug("list_watch_ended", "addr", addr, "err", err)
 			backoff.Sleep(here, w.Pause.Next())
 		}
 		cancel()
--- a/internal/listwatch/doubt.go
+++ b/internal/listwatch/doubt.go
@@ -62,9 +62,9 @@
 	}
 	if lost := d.lost(l); doubtful(lost, len(d.members)) {
 		d.Doubted.Add(1)
-		d.Log.Warn("a list without most of what was known", "revision", l.Revision, "lost", lost, "known", len(d.members))
+		d.Log.Warn("list_doubted", "revision", l.Revision, "lost", lost, "known", len(d.members))
 		l = d.reconsider(ctx, l)
-		d.Log.Warn("the list is taken", "revision", l.Revision, "lost", d.lost(l))
+		d.Log.Warn("list_taken", "revision", l.Revision, "lost", d.lost(l))
 	}
 	d.take(l)
 	return l, nil
@@ -106,7 +106,7 @@
 		for _, addr := range d.At.all() {
 			later, err := askList(ctx, d.Client, addr)
 			if err != nil {
-				d.Log.Debug("no second opinion", "addr", addr, "err", err)
+				d.Log.Debug("list_no_second_opinion", "addr", addr, "err", err)
 				continue
 			}
 			if later.Revision > l.Revision {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -2,8 +2,6 @@
 package metrics
 
 import (
-	"bytes"
-	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +25,8 @@
 	OwnList                                         bool
 	ListRevision, ListOlder, ListDoubted, ListTurns atomic.Int64
 	listHeard                                       atomic.Int64 // Unix time in nanoseconds of a server's last line
+
+	times times
 }
 
 // ends counts the final answers of a class.
@@ -34,7 +34,7 @@
 
 // New has a figure for each of the classes.
 func New(classes []string) *Set {
-	f := &Set{classes: classes, ends: make([]ends, len(classes))}
+	f := &Set{classes: classes, ends: make([]ends, len(classes)), times: newTimes()}
 	f.ListLine()
 	return f
 }
@@ -86,37 +86,3 @@
 	f.missed.Store(core.Counts.Missed)
 	f.strange.Store(core.Counts.Strange)
 }
-
-// Text writes the figures as StatsD lines.
-func (f *Set) Text() []byte {
-	var b bytes.Buffer
-	for i, name := range f.classes {
-		e := &f.ends[i]
-		fmt.Fprintf(&b, "router.ok.%s:%d|c\n", name, e.ok.Load())
-		fmt.Fprintf(&b, "router.shed.%s:%d|c\n", name, e.shed.Load())
-		fmt.Fprintf(&b, "router.errors.%s:%d|c\n", name, e.errors.Load())
-	}
-	fmt.Fprintf(&b, "router.tries:%d|c\n", f.Tries.Load())
-	fmt.Fprintf(&b, "router.active:%d|g\n", f.Active.Load())
-	fmt.Fprintf(&b, "router.pool_size:%d|g\n", f.PoolSize.Load())
-	fmt.Fprintf(&b, "router.pool_ejected:%d|g\n", f.PoolEjected.Load())
-	if f.OwnList {
-		fmt.Fprintf(&b, "router.list_revision:%d|g\n", f.ListRevision.Load())
-		fmt.Fprintf(&b, "router.list_silent_ms:%d|g\n", time.Since(time.Unix(0, f.listHeard.Load())).Milliseconds())
-		fmt.Fprintf(&b, "router.list_turns:%d|c\n", f.ListTurns.Load())
-		fmt.Fprintf(&b, "router.list_older:%d|c\n", f.ListOlder.Load())
-		fmt.Fprintf(&b, "router.list_doubted:%d|c\n", f.ListDoubted.Load())
-	}
-	if f.Fellows {
-		fmt.Fprintf(&b, "router.members_present:%d|g\n", f.present.Load())
-		fmt.Fprintf(&b, "router.members_suspect:%d|g\n", f.suspects.Load())
-		fmt.Fprintf(&b, "router.members_agreed_ms:%d|g\n", f.agreedAgo.Load())
-		fmt.Fprintf(&b, "router.members_health:%d|g\n", f.health.Load())
-		fmt.Fprintf(&b, "router.members_refuted:%d|c\n", f.refuted.Load())
-		fmt.Fprintf(&b, "router.members_probes:%d|c\n", f.probes.Load())
-		fmt.Fprintf(&b, "router.members_missed:%d|c\n", f.missed.Load())
-		fmt.Fprintf(&b, "router.members_strange:%d|c\n", f.strange.Load())
-		fmt.Fprintf(&b, "router.members_strangers:%d|c\n", f.Strangers.Load())
-	}
-	return b.Bytes()
-}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -35,7 +35,7 @@
 		err = l.Send(handover.Frame{State: state}, int(n.lock.Fd()))
 	}
 	if err != nil {
-		n.log.Error("not handed over", "err", errors.Join(err, l.Close()))
+		n.log.Error("handover_failed", "err", errors.Join(err, l.Close()))
 		return false
 	}
 	// What is out there goes on; what has not been written is the successor's to send.
@@ -66,9 +66,10 @@
 // unheard. It returns the module's first events.
 func (n *Node) begin(c handover.Claim, unheard []called) ([]choice.Event, error) {
 	var err error
-	if n.journal, err = journal.Open(n.cfg.State, n.cfg.journalMB()); err != nil {
+	if n.journal, err = journal.Open(n.cfg.State, journalMB(n.cfg)); err != nil {
 		return nil, err
 	}
+	n.journal.Appended = n.figures.Appended
 	before := n.orders
 	if n.orders, err = readOrders(n.cfg.State); err == nil && !c.Upgrade {
 		err = n.orders.setDrained(false) // a drain is the running node's: it ends with a restart
@@ -77,9 +78,9 @@
 		return nil, errors.Join(err, n.journal.Close())
 	}
 	known := n.cfg.Known
-	if n.kept = n.cfg.keptList(); n.kept != nil {
+	if n.kept = keptList(n.cfg); n.kept != nil {
 		if last, err := n.kept.Read(); err != nil {
-			n.log.Warn("the list that was kept can't be used", "err", err)
+			n.log.Warn("kept_list_unusable", "err", err)
 		} else if last.Revision > known.Revision {
 			known = last
 		}
@@ -139,7 +140,7 @@
 			a := attempt{name.ID, name.N}
 			n.out[a] = outCall{m: n.pastOf(a.id), cancel: func() {
 				if err := c.From.Send(handover.Frame{Cancel: &name}, -1); err != nil {
-					n.log.Debug("call not called off", "id", name.ID, "err", err)
+					n.log.Debug("cancel_not_passed_on", "msg_id", name.ID, "err", err)
 				}
 			}}
 			n.remote++
@@ -161,7 +162,7 @@
 		}
 	}
 	if len(n.messages) > 0 {
-		n.log.Info("journal replayed", "resumed", resumed, "carried", len(carried), "notices", len(n.owed), "out", n.remote)
+		n.log.Info("journal_replayed", "resumed", resumed, "carried", len(carried), "notices", len(n.owed), "out", n.remote)
 	}
 	return events
 }
@@ -183,14 +184,14 @@
 	for {
 		f, file, err := l.Receive()
 		if err != nil {
-			n.log.Info("the predecessor is gone", "err", err)
+			n.log.Info("predecessor_gone", "err", err)
 			return
 		}
 		switch {
 		case f.Client != nil && file != nil:
 			nc, err := net.FileConn(file)
 			if err != nil {
-				n.log.Error("a client's connection can't be taken over", "err", err)
+				n.log.Error("client_not_adopted", "err", err)
 				break
 			}
 			n.clients.Adopt(nc, *f.Client)
@@ -210,7 +211,7 @@
 					done.No = admin.ErrNotServing.Error()
 				}
 				if err := l.Send(handover.Frame{Done: &done}, -1); err != nil {
-					n.log.Debug("answer to an order not passed on", "err", err)
+					n.log.Debug("order_answer_lost", "err", err)
 				}
 			}()
 		}
--- a/internal/node/keptlist.go
+++ b/internal/node/keptlist.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"harrierramp/internal/config"
 	"harrierramp/internal/journal"
 	"harrierramp/internal/listwatch"
 )
@@ -12,11 +13,11 @@
 const keepShare = 8 // the kept list may take this part of the disk, and as much again while it is replaced
 
 // keptRoom is the room of the kept list, 0 if there is none.
-func (c Config) keptRoom() int64 {
+func keptRoom(c config.Config) int64 {
 	if c.Registry == nil || !c.Registry.Keep {
 		return 0
 	}
-	mb := c.Limits.DiskMB
+	mb := float64(c.Limits.Disk)
 	if mb <= 0 {
 		mb = journal.DefaultDiskMB
 	}
@@ -24,22 +25,22 @@
 }
 
 // journalMB is what the disk's limit leaves for the journal.
-func (c Config) journalMB() float64 {
-	if c.keptRoom() == 0 {
-		return c.Limits.DiskMB
+func journalMB(c config.Config) float64 {
+	if keptRoom(c) == 0 {
+		return float64(c.Limits.Disk)
 	}
-	mb := c.Limits.DiskMB
+	mb := float64(c.Limits.Disk)
 	if mb <= 0 {
 		mb = journal.DefaultDiskMB
 	}
-	return mb - 2*float64(c.keptRoom())/(1<<20)
+	return mb - 2*float64(keptRoom(c))/(1<<20)
 }
 
-func (c Config) keptList() *listwatch.Kept {
-	if c.keptRoom() == 0 {
+func keptList(c config.Config) *listwatch.Kept {
+	if keptRoom(c) == 0 {
 		return nil
 	}
-	return listwatch.NewKept(c.State, c.keptRoom())
+	return listwatch.NewKept(c.State, keptRoom(c))
 }
 
 // keepList writes the list down if it is due. An empty one is never worth more than what was kept.
@@ -55,6 +56,6 @@
 		l.Members = append(l.Members, n.members[id])
 	}
 	if err := n.kept.Write(l); err != nil {
-		n.log.Warn("the list is not kept", "err", err)
+		n.log.Warn("list_not_kept", "err", err)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,3 +1,5 @@
+// Package node is a delivery node on real sockets: clients hand messages in, the node journals them, asks
+// package choice what to do, calls endpoints, and reports the ends. It decides nothing about messages itself.
 package node
 
 import (
@@ -17,6 +19,7 @@
 	"harrierramp/choice"
 	"harrierramp/internal/admin"
 	"harrierramp/internal/backoff"
+	"harrierramp/internal/config"
 	"harrierramp/internal/egress"
 	"harrierramp/internal/handover"
 	"harrierramp/internal/ingress"
@@ -54,12 +57,13 @@
 
 // Node is a delivery node. One goroutine, in Run, owns all that is not said to be shared.
 type Node struct {
-	cfg       Config
+	cfg       config.Config
 	log       *slog.Logger
 	sender    *choice.Sender
 	journal   *journal.Journal
 	pool      *egress.Pool
 	client    *http.Client
+	Level     *slog.LevelVar       // of log, for operators to change; nil if they may not
 	discovery *listwatch.Addresses // shared
 	peers     *peers               // nil if the fleet has no datagrams
 	fellows   *fellows             // nil without membership
@@ -113,12 +117,12 @@
 )
 
 // New makes a node that Run brings to life. Its folder must be the node's alone.
-func New(cfg Config, log *slog.Logger) *Node {
+func New(cfg config.Config, log *slog.Logger) *Node {
 	n := &Node{
 		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
 		figures:   metrics.New(cfg.Names.Classes),
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
-		discovery: listwatch.NewAddresses(cfg.discoveryAt()),
+		discovery: listwatch.NewAddresses(cfg.DiscoveryAt()),
 		events:    make(chan any, eventQueue), notices: make(chan []outbox.Notice), asks: make(chan *handover.Link),
 		messages: map[string]*journal.Message{}, out: map[attempt]outCall{}, eps: map[string]*egress.Endpoint{},
 		waits: map[int]*atomic.Int64{}, dests: map[int]bool{}, named: map[string]bool{},
@@ -190,7 +194,7 @@
 		if err != nil || successor == nil {
 			return err
 		}
-		n.log.Info("handed over", "out", len(n.out))
+		n.log.Info("handover_done", "out", len(n.out))
 		n.clients.Move(func(nc net.Conn, m ingress.Moved) error { return moveClient(successor, nc, m) })
 		n.passing.Store(true)
 		var left bool
@@ -199,7 +203,7 @@
 		if left {
 			return nil
 		}
-		n.log.Error("the successor is gone")
+		n.log.Error("successor_gone")
 	}
 }
 
@@ -225,7 +229,7 @@
 		outbox.Run(term, n.log, n.client, n.discovery, n.notices, func(b []outbox.Notice) { n.tell(term, settled(b)) })
 	})
 	if ln, err := handover.Listen(n.cfg.State); err != nil {
-		n.log.Error("no successor can take over from this process", "err", err)
+		n.log.Error("handover_unavailable", "err", err)
 	} else {
 		parts.Go(func() { n.successors(term, ln) })
 		defer ln.Close()
@@ -235,7 +239,7 @@
 		defer c.From.Close()
 	}
 	if n.peers, err = listenToPeers(term, n.cfg); err != nil {
-		n.log.Error("no notes to or from other nodes", "err", err)
+		n.log.Error("notes_unavailable", "err", err)
 	}
 	if n.fellows = n.newFellows(); n.peers != nil {
 		parts.Go(func() { n.peers.receive(term, n.log, &n.figures.Strangers, n.noted) })
@@ -269,7 +273,7 @@
 
 // Reload takes from a configuration that has replaced the old one what may change while the node runs: the
 // address of discovery. It may be called at any time, from any goroutine.
-func (n *Node) Reload(cfg Config) { n.discovery.Move(cfg.discoveryAt()) }
+func (n *Node) Reload(cfg config.Config) { n.discovery.Move(cfg.DiscoveryAt()) }
 
 // resumed tells the module of a message's past. An attempt that is not proven not to have run may have.
 func (n *Node) resumed(p *journal.Message) choice.Resumed {
@@ -313,6 +317,7 @@
 	n.tell(ctx, a)
 	select {
 	case r := <-a.reply:
+		n.figures.Answered(time.Since(q.Came))
 		return r
 	case <-ctx.Done():
 		return ingress.Answer{Refused: true} // the loop has ended and did not take it on
@@ -374,6 +379,8 @@
 
 // take turns a batch into the module's events, and steps.
 func (n *Node) take(ctx context.Context, batch []any) {
+	began := time.Now()
+	defer func() { n.figures.Stepped(time.Since(began)) }()
 	var events []choice.Event
 	fresh := map[string]arrival{}
 	for _, e := range batch {
@@ -420,7 +427,7 @@
 	events = append(events, n.meet()...)
 	// What the module is about to be told of, and the clients with it, rests on these records.
 	if err := n.journal.Flush(); err != nil && len(fresh) > 0 {
-		n.log.Error("messages turned away", "err", err)
+		n.log.Error("messages_turned_away", "err", err)
 		events = slices.DeleteFunc(events, func(e choice.Event) bool {
 			_, isNew := e.(choice.Arrived)
 			return isNew
@@ -459,6 +466,7 @@
 		n.figures.Shed(a.Class)
 		return ingress.Answer{Refused: true}, false
 	}
+	p.Came = a.Came
 	n.messages[p.ID] = p
 	n.held++
 	return ingress.Answer{}, true
@@ -570,6 +578,11 @@
 		return nil // a predecessor told of it, and then was gone
 	}
 	m := o.m
+	n.figures.Attempted(int(e.Outcome), e.took)
+	if n.log.Enabled(context.Background(), slog.LevelDebug) {
+		n.log.Debug("attempt_ended", "msg_id", e.id, "dest", m.Dest, "endpoint", e.endpoint.ID, "attempt", e.n,
+			"outcome", metrics.OutcomeNames[e.Outcome], "took", e.took)
+	}
 	if delete(n.out, e.attempt); o.endpoint == nil {
 		n.remote--
 	}
@@ -624,7 +637,7 @@
 				n.wakeAt = a.At
 			}
 		case choice.Note:
-			n.log.Info(a.Text)
+			n.log.Info("sender_note", "text", a.Text)
 		}
 	}
 	n.publish()
@@ -633,7 +646,7 @@
 		n.acts = append(n.acts, func() { a.reply <- ingress.Answer{} })
 	}
 	if err := n.journal.Flush(); err != nil {
-		n.log.Error("waiting for the journal", "acts", len(n.acts), "err", err)
+		n.log.Error("journal_waiting", "acts", len(n.acts), "err", err)
 		return
 	}
 	for _, act := range n.acts {
@@ -692,6 +705,9 @@
 	pool := n.pool
 	name, now := attempt{a.ID, len(p.Sends)}, time.Now()
 	n.journal.Attempt(p, now, e.Zone)
+	if name.n == 0 && !p.Came.IsZero() {
+		n.figures.First(p.Dest, now.Sub(p.Came))
+	}
 	c := egress.Call{ID: p.ID, Key: p.Key, Body: p.Body, Endpoint: e, NotPast: n.wall(a.NotPast)}
 	n.acts = append(n.acts, func() {
 		ctx, cancel := context.WithCancel(ctx)
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"sync"
 
 	"harrierramp/internal/admin"
+	"harrierramp/internal/logging"
 )
 
 // The node as the door sees it; all of these are called from any goroutine.
@@ -16,6 +19,21 @@
 // Stats are the figures as StatsD lines.
 func (n *Node) Stats() []byte { return n.figures.Text() }
 
+// WriteMetrics writes the figures in the Prometheus text format.
+func (n *Node) WriteMetrics(w io.Writer) error { return n.figures.WriteMetrics(w) }
+
+// SetLogLevel sets the least level that is logged, from debug to error, until the process ends.
+func (n *Node) SetLogLevel(name string) error {
+	if n.Level == nil || name == "" {
+		return admin.ErrLogLevel
+	}
+	if err := logging.SetLevel(n.Level, name); err != nil {
+		return fmt.Errorf("%w: %w", admin.ErrLogLevel, err)
+	}
+	n.log.Warn("log_level_set", "level", name)
+	return nil
+}
+
 // Members asks the loop who is there.
 func (n *Node) Members(ctx context.Context) (*admin.View, error) {
 	if n.cfg.Membership == nil {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -11,6 +11,7 @@
 
 	"harrierramp/choice"
 	"harrierramp/internal/backoff"
+	"harrierramp/internal/config"
 	"harrierramp/internal/membership"
 )
 
@@ -28,7 +29,7 @@
 }
 
 // listenToPeers opens the socket for notes. At an upgrade the process before may hold it for some moments more. Without an address for it, or without other nodes, there are none.
-func listenToPeers(ctx context.Context, cfg Config) (*peers, error) {
+func listenToPeers(ctx context.Context, cfg config.Config) (*peers, error) {
 	if cfg.PeerListen == "" || !cfg.Settings.MayTell || len(cfg.Peers) < 2 {
 		return nil, nil
 	}
@@ -65,7 +66,7 @@
 			return
 		}
 		if err != nil {
-			log.Debug("a note was not read", "err", err)
+			log.Debug("note_not_read", "err", err)
 			if !backoff.Sleep(ctx, backoff.First) {
 				return
 			}
@@ -91,7 +92,7 @@
 		return
 	}
 	if _, err := p.conn.WriteToUDPAddrPort(a.Text, p.addrs[a.To]); err != nil {
-		log.Debug("a note was not sent", "to", a.To, "err", err)
+		log.Debug("note_not_sent", "to", a.To, "err", err)
 	}
 }
 
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -67,7 +67,7 @@
 				pause.Reset() // it has moved, or the node ends
 			default:
 				turn++
-				log.Debug("notices not taken", "addr", addr, "count", len(some), "err", err)
+				log.Debug("notices_not_taken", "addr", addr, "count", len(some), "err", err)
 				backoff.Sleep(here, pause.Next())
 			}
 			cancel()
--- a/internal/registry/console.go
+++ b/internal/registry/console.go
@@ -25,7 +25,7 @@
 	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		if _, err := w.Write(s.text()); err != nil {
-			s.log.Debug("figures not taken", "err", err)
+			s.log.Debug("stats_not_taken", "err", err)
 		}
 	})
 	mux.HandleFunc("PUT /ops/promote", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -106,7 +106,7 @@
 func (s *Server) answer(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(v); err != nil {
-		s.log.Debug("answer not taken", "err", err)
+		s.log.Debug("answer_not_taken", "err", err)
 	}
 }
 
@@ -146,7 +146,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
 	if err := json.NewEncoder(w).Encode(said); err != nil {
-		s.log.Debug("refusal not taken", "err", err)
+		s.log.Debug("refusal_not_taken", "err", err)
 	}
 }
 
@@ -305,6 +305,6 @@
 	}
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	if _, err := w.Write(page); err != nil {
-		s.log.Debug("notices not taken", "err", err)
+		s.log.Debug("notices_not_taken", "err", err)
 	}
 }
--- a/internal/registry/peers.go
+++ b/internal/registry/peers.go
@@ -115,7 +115,7 @@
 	for ctx.Err() == nil {
 		s.askAll(ctx)
 		if _, err := s.do(ctx, order{plan: s.conclude}); err != nil && ctx.Err() == nil {
-			s.log.Error("the role could not be settled", "err", err)
+			s.log.Error("role_unsettled", "err", err)
 		}
 		if s.is(roleUnconfirmed) || s.is(roleFollower) && s.peers.primary() == "" {
 			pause(ctx, jittered(seekPause))
@@ -134,7 +134,7 @@
 		asks.Go(func() {
 			st, err := s.ask(ctx, addr)
 			if err != nil {
-				s.log.Debug("another server does not answer", "addr", addr, "err", err)
+				s.log.Debug("server_silent", "addr", addr, "err", err)
 				return
 			}
 			s.peers.heard(addr, st)
@@ -173,7 +173,7 @@
 	switch later := latest(known) > s.cat.Head().Epoch(); {
 	case s.is(roleFollower):
 	case later:
-		s.log.Warn("deposed: another server owns a later epoch", "own", s.cat.Head().Epoch(), "latest", latest(known))
+		s.log.Warn("deposed", "own", s.cat.Head().Epoch(), "latest", latest(known))
 		s.role.Store(roleFollower)
 	case s.is(roleUnconfirmed) && (len(known) == len(s.peers.others) || len(known) > 0 && now > confirmAfter):
 		return List{}, nil, s.confirm(now)
@@ -205,7 +205,7 @@
 		})
 		cancel()
 		if ctx.Err() == nil {
-			s.log.Info("the primary's watch has ended", "addr", addr, "err", err)
+			s.log.Info("primary_watch_ended", "addr", addr, "err", err)
 		}
 		pause(ctx, jittered(2*tick))
 	}
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -224,7 +224,7 @@
 	if len(lists) > 0 {
 		if err := s.write(lists...); err != nil {
 			s.figures.diskErrors.Add(1)
-			s.log.Error("changes not taken", "count", len(lists), "err", err)
+			s.log.Error("changes_not_taken", "count", len(lists), "err", err)
 			s.cat.Restore(now, s.feed.whole())
 			for i := range results {
 				if changes[i].Revision != 0 {
@@ -260,7 +260,7 @@
 	s.retryAt = s.now() + storePause
 	err := s.store.Compact(s.after(lists))
 	if err != nil && !down { // the old log may have room yet
-		s.log.Error("the log can't be written anew", "err", err)
+		s.log.Error("log_not_compacted", "err", err)
 		return s.store.Append(lists...)
 	}
 	return err
@@ -283,7 +283,7 @@
 	}
 	s.retryAt = s.now() + storePause
 	if err := s.store.Compact(s.feed.whole()); err != nil {
-		s.log.Error("the log can't be written anew", "err", err)
+		s.log.Error("log_not_compacted", "err", err)
 	}
 }
 
@@ -295,7 +295,7 @@
 	preserved := s.cat.Preserved
 	l := s.cat.Lapse(now)
 	if s.cat.Preserved > preserved {
-		s.log.Warn("most instances are silent at once: none is taken from the list", "instances", s.cat.Len())
+		s.log.Warn("preserving", "instances", s.cat.Len())
 	}
 	return l, nil, nil
 }
@@ -303,7 +303,7 @@
 func (s *Server) lapsed(now time.Duration, l List) {
 	s.cat.Lapsed(now, l)
 	for _, m := range l.Members {
-		s.log.Warn("lapsed", "id", m.ID, "host_port", m.Addr)
+		s.log.Warn("lease_lapsed", "id", m.ID, "host_port", m.Addr)
 	}
 }
 
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -28,7 +28,7 @@
 			return
 		}
 		if _, err := w.Write(n.line); err != nil {
-			s.log.Debug("list not taken", "err", err)
+			s.log.Debug("list_not_taken", "err", err)
 		}
 		return
 	}
@@ -45,7 +45,7 @@
 func (s *Server) watch(w http.ResponseWriter, r *http.Request, after Revision, replica bool) {
 	rc := http.NewResponseController(w)
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		s.log.Error("a watch can't be kept open", "err", err)
+		s.log.Error("watch_not_opened", "err", err)
 		return
 	}
 	var at atomic.Int64
@@ -57,7 +57,7 @@
 	for first := true; ; first = false {
 		n, err := s.feed.since(after, replica, first)
 		if err != nil {
-			s.log.Error("the list can't be told", "err", err)
+			s.log.Error("list_not_told", "err", err)
 			return
 		}
 		line := n.line
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,10 +6,10 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"math"
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/units"
 )
 
 // Line is any line of a batch; Type says which fields count.
@@ -56,7 +56,7 @@
 
 // Time converts milliseconds of the wire; the simulator counts whole microseconds.
 func Time(ms float64) time.Duration {
-	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+	return units.Millis(ms).Duration()
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
