--- /dev/null
+++ b/internal/ingress/fuzz_test.go
@@ -0,0 +1,43 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"testing"
+	"time"
+
+	"harrierramp/internal/client"
+	"harrierramp/internal/testkit"
+)
+
+// Whatever a peer sends, the reader ends, holds no more than its bounds, and what it takes for a message is one.
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte(client.Request("ENQUEUE", "0", "id", "c=notice,d=8000,dest=7,k=x", "body")))
+	f.Add([]byte("*1\r\n$1048577\r\n"))
+	f.Add([]byte("*-1\r\n$9223372036854775807\r\nPING\r\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if len(raw) > 4<<20 {
+			t.Skip()
+		}
+		r := bufio.NewReaderSize(bytes.NewReader(raw), 4096)
+		for range len(raw) + 2 {
+			args, err := readCommand(r)
+			if err != nil {
+				return
+			}
+			held := 0
+			for _, a := range args {
+				held += len(a)
+			}
+			if held > maxArgs*maxBody || len(args) > maxArgs && raw[0] == '*' {
+				t.Fatalf("%d words of %d bytes", len(args), held)
+			}
+			if q, err := parseEnqueue(args, testkit.TestNames, time.Now()); err == nil {
+				if q.Life < 0 || q.Life > maxLife || q.Class != 0 || q.Dest < 0 || !isToken(q.ID) {
+					t.Fatalf("taken: %+v", q)
+				}
+			}
+		}
+		t.Fatal("the reader does not end")
+	})
+}
