--- a/choice/state.go
+++ b/choice/state.go
@@ -400,14 +400,22 @@
 
 // rankAnew ranks those who may keep the destination's limit, and returns the one at a rank, or else the last.
 func (s *Sender) rankAnew(d *destination, rank int) int {
-	var all []int
+	type ranked struct {
+		mix    uint64
+		number int
+	}
+	var first []ranked // in one pass: fleets are large, and few are wanted
 	for i := range s.cfg.Fleet {
-		if !s.gone[i] {
-			all = append(all, i)
+		if x := mix(d.id, i); !s.gone[i] && (len(first) < keeperRanks || x < first[len(first)-1].mix) {
+			at, _ := slices.BinarySearchFunc(first, x, func(r ranked, x uint64) int { return cmp.Compare(r.mix, x) })
+			first = slices.Insert(first, at, ranked{x, i})
+			first = first[:min(len(first), keeperRanks)]
 		}
 	}
-	slices.SortFunc(all, func(a, b int) int { return cmp.Compare(mix(d.id, a), mix(d.id, b)) })
-	d.keepers = all[:min(keeperRanks, len(all))]
+	d.keepers = nil
+	for _, r := range first {
+		d.keepers = append(d.keepers, r.number)
+	}
 	return d.keepers[min(rank, len(d.keepers)-1)]
 }
 
