--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -83,7 +83,7 @@
 	if !slices.Equal(taken, []string{"discovery", "log.level"}) || !slices.Equal(kept, []string{"limits.sockets"}) {
 		t.Errorf("taken %v, kept %v", taken, kept)
 	}
-	_, kept = before.Moved(load(people + "[membership]\n[[delivery.class]]\nname=\"b\"\naim=\"1s\"\ndeadline=\"2s\"\neffect=\"idempotent\"\n", "peers=127.0.0.1:5,127.0.0.1:6", "peer_listen=127.0.0.1:5", "delivery.limits.notes=true"))
+	_, kept = before.Moved(load(people+"[membership]\n[[delivery.class]]\nname=\"b\"\naim=\"1s\"\ndeadline=\"2s\"\neffect=\"idempotent\"\n", "peers=127.0.0.1:5,127.0.0.1:6", "peer_listen=127.0.0.1:5", "delivery.limits.notes=true"))
 	if !slices.Contains(kept, "membership.period") || !slices.Contains(kept, "delivery.class[1].name") {
 		t.Errorf("kept %v", kept)
 	}
--- /dev/null
+++ b/internal/lab/experiment/report.go
@@ -0,0 +1,197 @@
+package experiment
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"harrierramp/internal/lab/judge"
+)
+
+// figure is one plot of a report.
+type figure struct {
+	Title string
+	SVG   template.HTML
+}
+
+var page = template.Must(template.New("report").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Name}}</title><style>
+body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:1100px;padding:0 1em;color:#222}
+table{border-collapse:collapse;margin:1em 0}td,th{padding:.25em .6em;text-align:right;border-bottom:1px solid #ddd}
+td:nth-child(-n+3),th:nth-child(-n+3){text-align:left}figure{display:inline-block;margin:.5em}figcaption{font-weight:600}
+.bad{color:#b00}</style></head><body><h1>{{.Name}}</h1>
+<p>{{.Runs}} runs. Differences are in worth served, paired by seed with {{.Base}}, with bootstrap intervals of 95%.</p>
+<table><tr><th>day</th><th>nodes</th><th>policy</th><th>runs</th><th>served</th><th>quartiles</th><th>difference</th><th>interval</th><th>score</th><th>in time</th><th>refused</th><th>over limit</th><th>broken</th></tr>
+{{range .Rows}}<tr><td>{{.Day}}</td><td>{{.Nodes}}</td><td>{{.Policy}}</td><td>{{.Runs}}</td><td>{{printf "%.3f" .Median}}</td><td>{{printf "%.3f to %.3f" .Lo .Hi}}</td><td>{{printf "%+.3f" .Difference}}</td><td>{{printf "%+.3f to %+.3f" .From .To}}</td><td>{{printf "%.3f" .Score}}</td><td>{{printf "%.2f" .InTime}}</td><td>{{printf "%.2f" .Refused}}</td><td>{{printf "%.3f" .OverLimit}}</td><td{{if .Broken}} class="bad"{{end}}>{{.Broken}}</td></tr>
+{{end}}</table>
+{{range .Figures}}<figure><figcaption>{{.Title}}</figcaption>{{.SVG}}</figure>
+{{end}}{{if .Problems}}<h2>Rules broken and runs that failed</h2><ul>{{range .Problems}}<li>{{.}}</li>{{end}}</ul>{{end}}
+</body></html>
+`))
+
+// Report writes one self-contained page: the table, and plots over time of each day and size.
+func Report(w io.Writer, e Experiment, lines []Line, all []Summary) error {
+	data := struct {
+		Name, Base string
+		Runs       int
+		Rows       []Summary
+		Figures    []figure
+		Problems   []string
+	}{Name: e.Name, Runs: len(lines), Rows: all, Problems: Problems(lines)}
+	if len(lines) > 0 {
+		data.Base = lines[0].Policy
+	}
+	if data.Name == "" {
+		data.Name = "experiment"
+	}
+	for _, d := range e.Days {
+		for _, n := range e.Nodes {
+			for _, kind := range []struct {
+				title string
+				of    func(judge.Window) float64
+			}{
+				{"worth served, by when it was asked for", func(w judge.Window) float64 { return ratio(w.Earned, w.Asked) }},
+				{"share refused", func(w judge.Window) float64 { return ratio(float64(w.Refused), float64(w.Offered)) }},
+				{"calls refused over a limit, by call", func(w judge.Window) float64 { return ratio(float64(w.OverLimit), float64(w.Calls)) }},
+			} {
+				f, err := overTime(fmt.Sprintf("%s, %d nodes: %s", d, n, kind.title), lines, d, n, e.Policies, kind.of)
+				if err != nil {
+					return fmt.Errorf("report: %w", err)
+				}
+				data.Figures = append(data.Figures, f)
+			}
+		}
+	}
+	return page.Execute(w, data)
+}
+
+func ratio(a, b float64) float64 {
+	if b <= 0 {
+		return 0
+	}
+	return a / b
+}
+
+// overTime plots the median over seeds of a value of each window, a line a policy.
+func overTime(title string, lines []Line, day string, nodes int, policies []string, of func(judge.Window) float64) (figure, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Min, p.Y.Max = "seconds", 0, 1
+	p.Legend.Top = true
+	for i, name := range policies {
+		var points plotter.XYs
+		for k := 0; ; k++ {
+			var at []float64
+			for _, l := range lines {
+				if l.Policy == name && l.Day == day && l.Nodes == nodes && l.Result != nil && k < len(l.Result.Windows) && l.Result.Windows[k].Offered > 0 {
+					at = append(at, of(l.Result.Windows[k]))
+				}
+			}
+			if len(at) == 0 {
+				break
+			}
+			points = append(points, plotter.XY{X: float64(5 * k), Y: quantile(at, 0.5)})
+		}
+		if len(points) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return figure{}, err
+		}
+		line.Color, line.Width = plotutil.Color(i), vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(name, line)
+	}
+	svg, err := SVG(p, 12*vg.Centimeter, 8*vg.Centimeter)
+	return figure{title, svg}, err
+}
+
+// SVG draws a plot as markup for a page.
+func SVG(p *plot.Plot, width, height vg.Length) (template.HTML, error) {
+	p.BackgroundColor = color.White
+	c := vgsvg.New(width, height)
+	p.Draw(draw.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return "", err
+	}
+	_, markup, ok := strings.Cut(b.String(), "<svg") // without the head of a file
+	if !ok {
+		return "", fmt.Errorf("a plot without markup")
+	}
+	return template.HTML("<svg" + markup), nil // of our own making
+}
+
+// Day writes one run for people.
+func Day(w io.Writer, l Line) error {
+	r := l.Result
+	fmt.Fprintf(w, "%s on %s, %d nodes, seed %d\n", l.Policy, l.Day, l.Nodes, l.Seed)
+	fmt.Fprintf(w, "served %.3f, worst 10 s %.3f, worst class %.3f, prices %.4f, score %.3f\n", r.Served, r.Worst, r.WorstClass, r.Prices, r.Score)
+	fmt.Fprintf(w, "offered %d, delivered %d, in time %d, refused %d, failed %d, lost %d; runs beyond the first %d\n",
+		r.Offered, r.Delivered, r.InTime, r.Refused, r.Failed, r.Lost, r.Repeated)
+	fmt.Fprintf(w, "calls %d, over a limit %d, across zones %d, handshakes %d, datagrams %d of %d bytes, destinations that fell over %d\n",
+		r.Calls, r.OverLimit, r.Crossed, r.Handshakes, r.Datagrams, r.PeerBytes, r.Fell)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "from\toffered\tin time\tlate\trefused\tfailed\tcalls\tover limit\tworth\t")
+	for i, x := range r.Windows {
+		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t\n", 5*i, x.Offered, x.InTime, x.Late, x.Refused, x.Failed, x.Calls, x.OverLimit, ratio(x.Earned, x.Asked))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, v := range r.Violations {
+		fmt.Fprintf(w, "rule %s at %v, node %d, message %s: %s\n", v.Rule, v.At, v.Node, v.Msg, v.Text)
+		for _, a := range v.Around {
+			fmt.Fprintln(w, "   ", a)
+		}
+	}
+	return nil
+}
+
+// Compare tells what moved between two files of results: what both have, by policy, day and size.
+func Compare(w io.Writer, before, after []Line) error {
+	had := map[Job]Line{}
+	for _, l := range before {
+		had[l.Job] = l
+	}
+	type group struct {
+		policy, day string
+		nodes       int
+	}
+	by := map[group][]float64{}
+	var order []group
+	rules := 0
+	for _, l := range after {
+		b, ok := had[l.Job]
+		if !ok || b.Result == nil || l.Result == nil {
+			continue
+		}
+		rules += l.Result.Broken - b.Result.Broken
+		g := group{l.Policy, l.Day, l.Nodes}
+		if by[g] == nil {
+			order = append(order, g)
+		}
+		by[g] = append(by[g], l.Result.Served-b.Result.Served)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "day\tnodes\tpolicy\tpairs\tserved\t95%\tleast\tmost\t")
+	for _, g := range order {
+		x := by[g]
+		from, to := interval(x)
+		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%+.4f\t%+.4f..%+.4f\t%+.4f\t%+.4f\t\n", g.day, g.nodes, g.policy, len(x), quantile(x, 0.5), from, to, slices.Min(x), slices.Max(x))
+	}
+	fmt.Fprintf(t, "rules broken: %+d\t\n", rules)
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/lab/policy/bound.go
@@ -0,0 +1,45 @@
+package policy
+
+import (
+	"math/rand/v2"
+
+	"harrierramp/choice"
+	"harrierramp/internal/lab/model"
+)
+
+// newBound is a policy that sees the true state of every endpoint and what all nodes have on the way: it sends only
+// where there is room now, and takes on what it has a place for. No real one can do that; what it reaches is about what
+// can be had.
+func newBound() model.Maker {
+	type shared struct {
+		w   *model.World
+		out map[string]int // calls on the way, by what limits them
+	}
+	var s *shared
+	return func(w *model.World, cfg choice.Settings, seed uint64) model.Policy {
+		if s == nil || s.w != w {
+			s = &shared{w, map[string]int{}}
+		}
+		zone := w.Day.Nodes[cfg.Number].Zone
+		all := s
+		t := newTextbook(w, cfg, seed, nil, func(*rand.Rand) admission { return &none{} })
+		t.pick = func(t *textbook, fit []*point) *point {
+			var best *point
+			most := 0
+			for _, p := range fit {
+				room := w.Room(p.id, zone) - all.out[w.Limiter(p.id)]
+				if room > most || room == most && room > 0 && p.zone == zone {
+					best, most = p, room
+				}
+			}
+			if best != nil {
+				at := w.Limiter(best.id)
+				all.out[at]++
+				// It has arrived by then, and counts among what the endpoint has.
+				w.After(w.Reach(zone, best.zone), func() { all.out[at]-- })
+			}
+			return best
+		}
+		return t
+	}
+}
