--- /dev/null
+++ b/internal/lab/load/load_test.go
@@ -0,0 +1,94 @@
+package load
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// slowNode answers one message at a time, each after a pause.
+func slowNode(t *testing.T, pause time.Duration) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				lines := bufio.NewReader(nc)
+				for {
+					for range 11 { // a request is an array of five words
+						if _, err := lines.ReadString('\n'); err != nil {
+							return
+						}
+					}
+					time.Sleep(pause)
+					if _, err := io.WriteString(nc, "+OK\r\n"); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// A node that takes longer than messages come makes the time of each grow, and the loop goes on all the same.
+func TestTimesCountFromWhenAMessageWasDue(t *testing.T) {
+	c := Config{
+		Nodes: []string{slowNode(t, 10*time.Millisecond)}, Rate: 200, Pattern: "even", Count: 60, Conns: 1, Dests: 3,
+		Classes: []Class{{"notice", 1, time.Second}}, Body: 10,
+	}
+	r, err := Run(t.Context(), c, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := r.Classes["notice"]
+	if k.Sent != 60 || k.Taken+k.Unheard != 60 || len(r.Taken) != k.Taken {
+		t.Fatalf("%+v", k)
+	}
+	// The last was due after 300 ms and answered after 600 ms at the earliest.
+	if most := time.Duration(k.Latency.Max()) * time.Microsecond; most < 250*time.Millisecond {
+		t.Errorf("the longest took %v", most)
+	}
+	var b strings.Builder
+	if err := r.Table(&b); err != nil || !strings.Contains(b.String(), "notice") {
+		t.Errorf("%v: %s", err, b.String())
+	}
+}
+
+func TestBoundsAndRamps(t *testing.T) {
+	good := Config{Nodes: []string{"127.0.0.1:1"}, Rate: 100, RampTo: 300, Steps: 3, Pattern: "even", Count: 1, Conns: 1, Dests: 1, Classes: []Class{{"a", 1, time.Second}}}
+	if err := good.Check(); err != nil {
+		t.Fatal(err)
+	}
+	for part, want := range map[float64]float64{0: 100, 0.3: 100, 0.4: 200, 0.9: 300, 2: 300} {
+		if got := good.rateAt(part); got != want {
+			t.Errorf("after %v of the run: %v a second, want %v", part, got, want)
+		}
+	}
+	for name, spoil := range map[string]func(c *Config){
+		"another machine": func(c *Config) { c.Nodes = []string{"10.0.0.1:1"} },
+		"a name":          func(c *Config) { c.Nodes = []string{"example.org:1"} },
+		"no end":          func(c *Config) { c.Count = 0 },
+		"too fast":        func(c *Config) { c.Rate = 1e9 },
+		"no connection":   func(c *Config) { c.Conns = 0 },
+		"a pattern":       func(c *Config) { c.Pattern = "often" },
+	} {
+		c := good
+		spoil(&c)
+		if c.Check() == nil {
+			t.Errorf("%s is taken", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/loopback/loopback_test.go
@@ -0,0 +1,59 @@
+package loopback
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"harrierramp/internal/cli"
+	"harrierramp/internal/lab/model"
+)
+
+const childEnv = "TEST_CHILD_OF_THE_LAB"
+
+// TestMain is a node when the driver starts this binary as one.
+func TestMain(m *testing.M) {
+	if os.Getenv(childEnv) != "" {
+		os.Exit(cli.Main(nil, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// Real nodes are killed and restarted under load while partners crash: the ledger of clients and endpoints finds every
+// rule kept and nothing lost.
+func TestRealNodesKeepTheRules(t *testing.T) {
+	t.Setenv(childEnv, "1")
+	day, err := model.Draw("quiet", 3, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	day.Length = 6 * time.Second
+	day.Troubles = []model.Trouble{
+		{Kind: model.Kill, At: 2 * time.Second, Len: 500 * time.Millisecond, Nodes: []int{0, 1}, Zone: -1},
+		{Kind: model.Crash, At: 3 * time.Second, Len: time.Second, Dests: []int{0}, Zone: -1},
+	}
+	r, err := Play(t.Context(), day, Options{Program: os.Args[0], Log: t.Output()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Broken > 0 {
+		t.Errorf("%+v", r.Violations[0])
+	}
+	if r.Lost > 0 || r.Delivered < r.Offered/2 || r.Delivered == 0 {
+		t.Errorf("offered %d, delivered %d, lost %d", r.Offered, r.Delivered, r.Lost)
+	}
+}
+
+func TestBoundsAreHeld(t *testing.T) {
+	day, err := model.Draw("quiet", MaxNodes+1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Play(t.Context(), day, Options{}); err == nil {
+		t.Error("too many nodes are started")
+	}
+	day.Nodes, day.Length = day.Nodes[:1], time.Hour
+	if _, err := Play(t.Context(), day, Options{}); err == nil {
+		t.Error("a day of an hour is begun")
+	}
+}
--- /dev/null
+++ b/internal/lab/loopback/node.go
@@ -0,0 +1,364 @@
+package loopback
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"harrierramp/choice"
+	"harrierramp/internal/client"
+	"harrierramp/internal/lab/model"
+)
+
+const maxClients = 32 // connections to one node
+
+// node is one real node: its process, the platform as it sees it, and its clients.
+type node struct {
+	r        *run
+	n        int
+	dir      string
+	addr     string
+	peerAddr string
+	platform http.Server
+	front    net.Listener
+	sockets  map[string]*socket
+	clients  chan *client.Client
+	log      sync.WaitGroup
+
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	dead     chan struct{} // closed when the process has ended
+	revision int
+	members  map[string]member
+	watchers map[chan []byte]bool
+}
+
+// member is discovery's form of an endpoint.
+type member struct {
+	ID       string  `json:"id"`
+	Addr     string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+}
+
+type list struct {
+	Revision int      `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+func newNode(r *run, n int, dir string) (*node, error) {
+	if err := os.MkdirAll(filepath.Join(dir, "state"), 0o700); err != nil {
+		return nil, err
+	}
+	ln, err := listen() // a port for the process, free again at once
+	if err != nil {
+		return nil, err
+	}
+	defer ln.Close()
+	peer, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer peer.Close()
+	front, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	x := &node{
+		r: r, n: n, dir: dir, addr: ln.Addr().String(), peerAddr: peer.LocalAddr().String(), front: front, sockets: map[string]*socket{},
+		clients: make(chan *client.Client, maxClients), revision: 1, members: map[string]member{}, watchers: map[chan []byte]bool{},
+	}
+	for range maxClients {
+		x.clients <- client.New(x.addr, client.Patience)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", x.instances)
+	mux.HandleFunc("POST /reports", x.reports)
+	x.platform = http.Server{Handler: mux}
+	x.log.Go(func() { x.platform.Serve(front) }) // its error says that it was closed
+	return x, nil
+}
+
+// open opens the node's own socket to an endpoint.
+func (x *node) open(e model.Listed) error {
+	s, err := newSocket(x.r, x, e.Endpoint)
+	if err != nil {
+		return err
+	}
+	x.sockets[e.Endpoint] = s
+	x.set(e)
+	return nil
+}
+
+// set changes the list as this node sees it, and tells its watchers.
+func (x *node) set(e model.Listed) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	m := member{
+		ID: e.Endpoint, Addr: x.sockets[e.Endpoint].addr, Locality: fmt.Sprint("z", e.Zone), Flavor: fmt.Sprint("k", e.Kind), Cell: e.Dest,
+		Phase: phases[e.Phase], Size: e.Weight,
+	}
+	x.revision++
+	if x.members[m.ID] = m; e.Phase == choice.Gone {
+		delete(x.members, m.ID)
+	}
+	line, err := json.Marshal(list{x.revision, false, []member{m}})
+	if err != nil {
+		fmt.Fprintf(x.r.Log, "loopback: %v\n", err)
+		return
+	}
+	for w := range x.watchers {
+		select {
+		case w <- line:
+		default: // it is behind; the next watch has the whole list
+		}
+	}
+}
+
+func (x *node) whole() list {
+	l := list{Revision: x.revision, Complete: true, Members: []member{}}
+	for _, m := range x.members {
+		l.Members = append(l.Members, m)
+	}
+	return l
+}
+
+func (x *node) instances(w http.ResponseWriter, r *http.Request) {
+	lines := make(chan []byte, 64)
+	x.mu.Lock()
+	first, err := json.Marshal(x.whole())
+	x.watchers[lines] = true
+	x.mu.Unlock()
+	defer func() {
+		x.mu.Lock()
+		delete(x.watchers, lines)
+		x.mu.Unlock()
+	}()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	for line := first; ; {
+		if _, err := w.Write(append(line, '\n')); err != nil || r.FormValue("watch") == "" {
+			return
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case line = <-lines:
+		case <-time.After(2 * time.Second):
+			line = nil
+		case <-r.Context().Done():
+			return
+		case <-x.r.ctx.Done():
+			return
+		}
+	}
+}
+
+func (x *node) reports(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	lines := bufio.NewScanner(bytes.NewReader(raw))
+	for lines.Scan() {
+		var n struct {
+			ID      string `json:"id"`
+			State   string `json:"state"`
+			AfterMS int64  `json:"after_ms"`
+		}
+		if err := json.Unmarshal(lines.Bytes(), &n); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		told := model.Busy
+		if n.State == "failed" {
+			told = model.Failed
+		}
+		x.r.world.Do(x.r.ctx, func() { x.r.world.Notice(x.n, n.ID, told, time.Duration(n.AfterMS)*time.Millisecond) })
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// configure writes the node's configuration in the platform's form.
+func (x *node) configure(peers []string) error {
+	x.mu.Lock()
+	known := x.whole()
+	x.mu.Unlock()
+	raw, err := json.Marshal(map[string]any{
+		"name": fmt.Sprint("n", x.n), "listen": x.addr, "discovery": x.front.Addr().String(), "seed": fmt.Sprintf("%x", x.r.day.Seed+uint64(x.n)),
+		"limits":      map[string]any{"cores": 1, "memory_mb": 128, "sockets": 1024, "disk_mb": 3},
+		"peer_listen": x.peerAddr, "peers": peers, "known": known, "settings": settings(x.r.day, x.n),
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(x.dir, "config.json"), raw, 0o600)
+}
+
+// settings are the day's, in the platform's words.
+func settings(d *model.Day, number int) map[string]any {
+	ms := func(t time.Duration) float64 { return float64(t) / float64(time.Millisecond) }
+	s := d.Settings
+	var classes, tenants []any
+	for i, c := range s.Classes {
+		group := "zone"
+		if c.GroupAll {
+			group = "all"
+		}
+		classes = append(classes, map[string]any{
+			"name": className(i), "aim": ms(c.Aim), "deadline": ms(c.Deadline), "worth": c.Worth, "lateWorth": c.LateWorth,
+			"effect": []string{"idempotent", "deduplicated", "at_most_once"}[c.Effect], "window": ms(c.Window), "group": group,
+		})
+	}
+	for i, t := range s.Tenants {
+		tenants = append(tenants, map[string]any{"name": tenantName(i), "allowancePerS": t.PerSecond})
+	}
+	var apart []bool
+	var batch []int
+	var kinds, zones []string
+	for i, k := range s.Kinds {
+		apart, batch, kinds = append(apart, k.Apart), append(batch, max(k.Batch, 1)), append(kinds, fmt.Sprint("k", i))
+	}
+	for i := range d.Zones {
+		zones = append(zones, fmt.Sprint("z", i))
+	}
+	return map[string]any{
+		"fleetSize": len(d.Nodes), "myNumber": number, "categories": classes, "customers": tenants, "flavors": kinds, "failureDomains": zones,
+		"discovery": "pushed", "weights": "nominal", "overShareWorth": s.OverShareWorth, "tick": ms(s.Tick),
+		"domain": map[string]any{"decay": "line", "workers": s.Slots, "separateRoutes": apart, "kindBatch": batch},
+		"limits": map[string]any{
+			"dialTimeout": ms(s.DialTimeout), "connIdle": ms(s.ConnIdle), "maxAttempts": s.MaxAttempts, "maxOpen": s.MaxOpen,
+			"maxRetryAfter": ms(s.MaxRetryAfter), "retryAfter": s.MaxRetryAfter > 0, "cancel": s.MayCancel, "mayTell": s.MayTell,
+		},
+		"contract": map[string]any{
+			"graceToAnswer": ms(s.AnswerGrace), "coldFrom": s.ColdFrom, "warmWithin": ms(s.WarmWithin), "stopSendingWithin": ms(s.DrainGrace),
+			"fallMultiple": s.FallMultiple, "fall": ms(s.Fall),
+		},
+	}
+}
+
+func className(i int) string  { return fmt.Sprint("c", i) }
+func tenantName(i int) string { return fmt.Sprint("t", i) }
+
+// Begin starts the process, if it does not run. (model.Remote)
+func (x *node) Begin() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.cmd != nil {
+		return
+	}
+	cmd := exec.Command(x.r.Program)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+filepath.Join(x.dir, "config.json"), "ROUTER_STATE="+filepath.Join(x.dir, "state"), "ROUTER_CONSOLE=")
+	pipe, err := cmd.StderrPipe()
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		fmt.Fprintf(x.r.Log, "loopback: node %d: %v\n", x.n, err)
+		return
+	}
+	x.cmd, x.dead = cmd, make(chan struct{})
+	dead := x.dead
+	x.log.Go(func() {
+		io.Copy(x.r.Log, pipe)
+		cmd.Wait() // its error says that it was killed
+		close(dead)
+	})
+}
+
+// signal sends the process a signal; after a kill it is waited for.
+func (x *node) signal(s os.Signal) {
+	x.mu.Lock()
+	cmd, dead := x.cmd, x.dead
+	if s == os.Kill {
+		x.cmd = nil
+	}
+	x.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	if err := cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		fmt.Fprintf(x.r.Log, "loopback: node %d: %v\n", x.n, err)
+	}
+	if s == os.Kill {
+		<-dead
+	}
+}
+
+// Die kills the process. (model.Remote)
+func (x *node) Die() { x.signal(os.Kill) }
+
+// Leave tells it to end. (model.Remote)
+func (x *node) Leave() { x.signal(syscall.SIGTERM) }
+
+// Listed tells it of a change of the list. (model.Remote)
+func (x *node) Listed(e model.Listed) { x.set(e) }
+
+// Hand hands a message in. (model.Remote)
+func (x *node) Hand(m model.Handed) {
+	x.r.hands.Go(func() {
+		told, wait := model.Nothing, time.Duration(0)
+		select {
+		case c := <-x.clients:
+			a, after, _ := c.Enqueue(client.Message{
+				ID: m.ID, Class: className(m.Class), Tenant: tenantName(m.Tenant), Key: m.ID, Dest: m.Dest, Life: m.Left, Body: []byte("body of " + m.ID),
+			})
+			x.clients <- c
+			wait = after
+			switch a {
+			case client.Taken:
+				told = model.Taken
+			case client.Busy:
+				told = model.Busy
+			case client.Failed:
+				told = model.Failed
+			}
+		case <-x.r.ctx.Done():
+			return
+		}
+		x.r.world.Do(x.r.ctx, func() { x.r.world.Answer(x.n, m.ID, told, wait) })
+	})
+}
+
+// serves tells that the process takes clients.
+func (x *node) serves() bool {
+	c := client.New(x.addr, time.Second)
+	defer c.Close()
+	return c.Ping()
+}
+
+func (x *node) close() error {
+	x.signal(os.Kill)
+	for range maxClients {
+		(<-x.clients).Close()
+	}
+	for _, s := range x.sockets {
+		s.close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := x.platform.Shutdown(ctx)
+	if err != nil {
+		err = x.platform.Close()
+	}
+	x.log.Wait()
+	return err
+}
--- a/internal/lab/model/call.go
+++ b/internal/lab/model/call.go
@@ -23,11 +23,18 @@
 	done    bool          // the node has its outcome
 	reused  bool
 	ran     bool
+	remote  *remoteCall // of a real process; nil for one that is played here
 }
 
 func (c *call) event(what What) Event {
+	n := 0
+	if c.h != nil {
+		n = c.h.n
+	} else {
+		n = c.remote.node
+	}
 	return Event{
-		What: what, Node: c.h.n, Msg: c.id, First: c.msg.first, Class: c.class, Dest: c.ep.dest.id, Endpoint: c.ep.id, Zone: c.ep.zone, Attempt: c.attempt,
+		What: what, Node: n, Msg: c.id, First: c.msg.first, Class: c.class, Dest: c.ep.dest.id, Endpoint: c.ep.id, Zone: c.ep.zone, Attempt: c.attempt,
 	}
 }
 
@@ -77,6 +84,10 @@
 
 // answer sends an answer back.
 func (c *call) answer(o choice.Outcome, wait time.Duration) {
+	if c.remote != nil {
+		c.remote.answer(c, o, wait)
+		return
+	}
 	w := c.h.w
 	if w.cut(c.h.zone, c.ep.zone) {
 		return
@@ -91,6 +102,10 @@
 
 // reset breaks the connection.
 func (c *call) reset() {
+	if c.remote != nil {
+		c.remote.answer(c, choice.Cut, 0)
+		return
+	}
 	w := c.h.w
 	w.after(w.delay(c.ep.zone, c.h.zone), func() {
 		if !c.done {
--- a/internal/lab/model/host.go
+++ b/internal/lab/model/host.go
@@ -326,11 +326,11 @@
 
 func (h *host) datagram(a choice.Tell) {
 	w := h.w
-	if a.To < 0 || a.To >= len(w.nodes) || len(a.Text) > 256 {
+	if a.To < 0 || a.To >= len(w.hosts) || len(a.Text) > 256 {
 		h.strange("a note of %d bytes to node %d", len(a.Text), a.To)
 		return
 	}
-	to, net := w.nodes[a.To], w.Day.Net
+	to, net := w.hosts[a.To], w.Day.Net
 	late := net.DatagramFrom + time.Duration(w.rng.net.Float64()*float64(net.DatagramTo-net.DatagramFrom))
 	if lost := w.rng.net.Float64() < net.DatagramLoss; lost || w.cut(h.zone, to.zone) {
 		return
--- a/internal/lab/model/partner.go
+++ b/internal/lab/model/partner.go
@@ -133,6 +133,7 @@
 		w.tell(Event{What: OutageBegan, Dest: e.dest.id, Endpoint: e.id})
 	}
 	e.down = append(e.down, kind)
+	w.struck(e, kind, true)
 	if kind == Crash {
 		lost := make([]*call, 0, len(e.calls))
 		for c := range e.calls {
@@ -151,6 +152,7 @@
 func (e *endpoint) recover(kind string) {
 	if i := slices.Index(e.down, kind); i >= 0 {
 		e.down = slices.Delete(e.down, i, i+1)
+		e.dest.w.struck(e, kind, false)
 	}
 	if len(e.down) > 0 {
 		return
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -26,7 +26,8 @@
 	q     queue
 	obs   Observer
 	make  Maker
-	nodes []*host
+	nodes []node
+	hosts []*host // those that are played here
 	dests []*dest
 	eps   map[string]*endpoint
 	rng   streams
@@ -35,6 +36,18 @@
 	Steps int64 // events of the run so far
 	made  int   // messages
 	front front
+
+	sockets Sockets     // where nodes are real processes
+	inject  chan func() // likewise
+}
+
+// node is a node of the fleet: one that is played here, or a real process.
+type node interface {
+	begin()
+	die()
+	leave()
+	hand(m *held) bool
+	listed(e *endpoint, phase choice.Phase)
 }
 
 // streams keeps apart what draws on chance, so that a policy that asks for more calls does not change the traffic.
@@ -55,7 +68,8 @@
 		w.dests = append(w.dests, newDest(w, i))
 	}
 	for i := range day.Nodes {
-		w.nodes = append(w.nodes, newHost(w, i))
+		h := newHost(w, i)
+		w.hosts, w.nodes = append(w.hosts, h), append(w.nodes, h)
 	}
 	w.front = newFront(w)
 	return w
--- /dev/null
+++ b/internal/lab/paper/study.go
@@ -0,0 +1,237 @@
+package paper
+
+import (
+	"context"
+	"fmt"
+	"html/template"
+	"io"
+	"runtime"
+	"sync"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"harrierramp/internal/lab/experiment"
+)
+
+// Study is the paper's figures 3 to 15.
+type Study struct {
+	Sessions int // of each run; the paper has a million
+	Messages int
+	Buffer   int
+	Feedback float64
+	Seed     uint64
+	Threads  int
+}
+
+// Default is what the paper leaves open, as we took it: sessions of three messages, queues of 400 messages, delays that
+// servers tell twice in a service time.
+func Default() Study {
+	return Study{Sessions: 100_000, Messages: 3, Buffer: 400, Feedback: 0.5, Seed: 1}
+}
+
+// Series is one curve.
+type Series struct {
+	Name string
+	Y    []float64
+}
+
+// Figure is one of the paper's.
+type Figure struct {
+	Name, Title string
+	X           []float64
+	Series      []Series
+}
+
+// Loads are the normalized offered loads.
+func Loads() (out []float64) {
+	for i := range 11 {
+		out = append(out, 0.75+0.05*float64(i))
+	}
+	return out
+}
+
+// Run plays the study and returns its figures in their order.
+func (s Study) Run(ctx context.Context) ([]Figure, error) {
+	type name struct {
+		size               int
+		selection, control string
+	}
+	var cases []name
+	for _, n := range []int{4, 8} {
+		cases = append(cases, name{n, "uniform", "none"}, name{n, "round-robin", "none"}, name{n, "lrt", "none"})
+		for _, c := range Controls {
+			cases = append(cases, name{n, "lrt", c})
+		}
+	}
+	loads := Loads()
+	results := map[name][]Result{}
+	for _, c := range cases {
+		results[c] = make([]Result, len(loads))
+	}
+	type task struct {
+		c  name
+		at int
+	}
+	work := make(chan task)
+	var players sync.WaitGroup
+	threads := s.Threads
+	if threads <= 0 {
+		threads = runtime.NumCPU()
+	}
+	for range threads {
+		players.Go(func() {
+			for t := range work {
+				results[t.c][t.at] = Run(Config{
+					Proxies: t.c.size, Servers: t.c.size, Load: loads[t.at], Selection: t.c.selection, Control: t.c.control,
+					Sessions: s.Sessions, Messages: s.Messages, Buffer: s.Buffer, Feedback: s.Feedback, Seed: s.Seed,
+				})
+			}
+		})
+	}
+	for _, c := range cases {
+		for i := range loads {
+			select {
+			case work <- task{c, i}:
+			case <-ctx.Done():
+			}
+		}
+	}
+	close(work)
+	players.Wait()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	base := func(n int) []Result { return results[name{n, "uniform", "none"}] }
+	curve := func(c name, of func(r, base Result) float64) []float64 {
+		y := make([]float64, len(loads))
+		for i, r := range results[c] {
+			y[i] = of(r, base(c.size)[i])
+		}
+		return y
+	}
+	gain := func(r, b Result) float64 { return b.Mean / max(r.Mean, 1e-9) }
+	gain95 := func(r, b Result) float64 { return b.P95 / max(r.P95, 1e-9) }
+	rejected := func(r, _ Result) float64 { return r.Rejected }
+	metric := func(a float64) func(r, b Result) float64 {
+		return func(r, b Result) float64 { return gain(r, b) + a*(1-r.Rejected) }
+	}
+	figure := func(no int, title string, size int, controls bool, of func(r, b Result) float64) Figure {
+		f := Figure{Name: fmt.Sprintf("Fig. %d", no), Title: fmt.Sprintf("%s (%d×%d)", title, size, size), X: loads}
+		if !controls {
+			for _, sel := range []string{"round-robin", "lrt"} {
+				f.Series = append(f.Series, Series{sel, curve(name{size, sel, "none"}, of)})
+			}
+			if no == 5 {
+				f.Series = append(f.Series, Series{"uniform", curve(name{size, "uniform", "none"}, of)})
+			}
+			return f
+		}
+		for _, c := range Controls {
+			f.Series = append(f.Series, Series{c, curve(name{size, "lrt", c}, of)})
+		}
+		return f
+	}
+	return []Figure{
+		s.temporal(),
+		figure(4, "delay ratio gain of selections", 4, false, gain), figure(5, "rejection probability of selections", 4, false, rejected),
+		figure(6, "delay ratio gain of controls", 4, true, gain), figure(7, "rejection probability of controls", 4, true, rejected),
+		figure(8, "M(0.5) of controls", 4, true, metric(0.5)), figure(9, "M(2) of controls", 4, true, metric(2)),
+		figure(10, "delay ratio gain of controls", 8, true, gain), figure(11, "rejection probability of controls", 8, true, rejected),
+		figure(12, "M(5) of controls", 8, true, metric(5)), figure(13, "M(20) of controls", 8, true, metric(20)),
+		figure(14, "95th percentile gain of controls", 4, true, gain95), figure(15, "95th percentile gain of controls", 8, true, gain95),
+	}, nil
+}
+
+// temporal is figure 3: the response ratio at one proxy over time, overloaded.
+func (s Study) temporal() Figure {
+	f := Figure{Name: "Fig. 3", Title: "response ratio over time, load 1.25 (4×4)"}
+	const steps, until = 60, 600.0
+	for i := range steps {
+		f.X = append(f.X, until*float64(i)/steps)
+	}
+	for _, c := range []string{"cs30", "lc30", "occ30", "bbc20-40"} {
+		y := make([]float64, steps)
+		Run(Config{
+			Proxies: 4, Servers: 4, Load: 1.25, Selection: "lrt", Control: c, Sessions: 3000, Messages: s.Messages, Buffer: s.Buffer,
+			Feedback: s.Feedback, Seed: s.Seed, Trace: func(at, ratio float64) {
+				if i := int(at / until * steps); i < steps {
+					y[i] = ratio
+				}
+			},
+		})
+		f.Series = append(f.Series, Series{c, y})
+	}
+	return f
+}
+
+// Table writes figures for people.
+func Table(w io.Writer, all []Figure) error {
+	for _, f := range all {
+		fmt.Fprintf(w, "\n%s: %s\n", f.Name, f.Title)
+		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+		for i := range f.X {
+			if f.Name == "Fig. 3" && i%6 != 0 {
+				continue
+			}
+			fmt.Fprintf(t, "%.2f\t", f.X[i])
+			for _, s := range f.Series {
+				fmt.Fprintf(t, "%.3f\t", s.Y[i])
+			}
+			fmt.Fprintln(t)
+		}
+		fmt.Fprint(t, "\t")
+		for _, s := range f.Series {
+			fmt.Fprintf(t, "%s\t", s.Name)
+		}
+		fmt.Fprintln(t)
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var page = template.Must(template.New("paper").Parse(`<!doctype html><html lang="en"><head><meta charset="utf-8"><title>The paper's study</title>
+<style>body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:1100px}figure{display:inline-block;margin:.5em}</style></head>
+<body><h1>The paper's study</h1>{{range .}}<figure><figcaption>{{.Title}}</figcaption>{{.SVG}}</figure>{{end}}</body></html>
+`))
+
+// Report writes the figures as one page.
+func Report(w io.Writer, all []Figure) error {
+	type drawn struct {
+		Title string
+		SVG   template.HTML
+	}
+	var out []drawn
+	for _, f := range all {
+		p := plot.New()
+		p.Legend.Top = true
+		p.X.Label.Text = "normalized offered load"
+		if f.Name == "Fig. 3" {
+			p.X.Label.Text = "time in service times"
+		}
+		for i, s := range f.Series {
+			points := make(plotter.XYs, len(f.X))
+			for k := range f.X {
+				points[k] = plotter.XY{X: f.X[k], Y: s.Y[k]}
+			}
+			line, err := plotter.NewLine(points)
+			if err != nil {
+				return fmt.Errorf("%s: %w", f.Name, err)
+			}
+			line.Color, line.Width = plotutil.Color(i), vg.Points(1.5)
+			p.Add(line)
+			p.Legend.Add(s.Name, line)
+		}
+		svg, err := experiment.SVG(p, 13*vg.Centimeter, 9*vg.Centimeter)
+		if err != nil {
+			return fmt.Errorf("%s: %w", f.Name, err)
+		}
+		out = append(out, drawn{f.Name + ": " + f.Title, svg})
+	}
+	return page.Execute(w, out)
+}
