--- /dev/null
+++ b/choice/account.go
@@ -0,0 +1,145 @@
+package choice
+
+import (
+	"math"
+	"time"
+)
+
+// What is counted, measured and looked up for the decisions, and decides nothing itself.
+
+// arm asks to be woken when a message's time is up, and soon while one waits for a slot, a rest or a pace.
+// What is out wakes the sender by its outcome; with nothing held it sleeps.
+func (s *Sender) arm() {
+	due := time.Duration(math.MaxInt64)
+	if s.askAt > 0 {
+		due = s.askAt
+	}
+	if len(s.kept) > 0 {
+		due = min(due, s.now+sweepEvery)
+	}
+	for _, m := range s.open {
+		due = min(due, max(m.dropDead-endMargin-s.cfg.Tick, s.now+sweepEvery))
+		if m.waits {
+			due = min(due, s.now+pollEvery)
+		}
+	}
+	if due < math.MaxInt64 && (s.wakeAt <= s.now || due < s.wakeAt) {
+		s.wakeAt = due
+		s.do(Wake{At: due, Tag: "sweep"})
+	}
+}
+
+// listed brings the list of endpoints up to date, and asks again for one that could not be had.
+func (s *Sender) listed(l Listed) {
+	if l.Failed {
+		s.asking = min(max(2*s.asking, trialFirst), time.Minute)
+		if s.cfg.AskForList {
+			s.askAt = s.now + s.asking
+		}
+		return
+	}
+	s.asking = 0
+	s.relist(l)
+}
+
+// inShare counts a request against its tenant's share, of which this sender sees its part.
+func (s *Sender) inShare(i int) bool {
+	if i < 0 || i >= len(s.tenants) || s.cfg.Tenants[i].PerSecond <= 0 {
+		return true
+	}
+	t, rate := &s.tenants[i], s.cfg.Tenants[i].PerSecond/float64(s.cfg.Fleet)
+	t.tokens = min(t.tokens+rate*seconds(s.now-t.at), 2*rate+1)
+	t.at = s.now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// sample takes a response time into the average, and keeps the lowest average as the baseline.
+func (g *gate) sample(now time.Duration, sec float64) {
+	if !g.seen {
+		g.seen, g.average, g.baseline, g.at = true, sec, sec, now
+		return
+	}
+	gap := seconds(now - g.at)
+	w := max(smoothing, 1-math.Exp(-gap/seconds(smoothSpan)))
+	g.average += w * (sec - g.average)
+	g.baseline = min(g.baseline*math.Exp(gap/seconds(baselineSpan)), g.average)
+	g.at = now
+}
+
+// windowEnd is the last moment at which a keyed message's repeat is surely dropped: its call may begin as
+// late as a connect takes at the most.
+func (s *Sender) windowEnd(m *message) time.Duration {
+	return m.mayRun + m.class.Window - s.cfg.DialTimeout - endMargin - 2*s.cfg.Tick
+}
+
+// even is a sender's even part of what a route takes; all of it where the route stands for all senders.
+func (s *Sender) even(r *route) float64 {
+	if r.whole {
+		return 1
+	}
+	return 1 / float64(s.cfg.Fleet)
+}
+
+// limit is what the route takes a second from all senders as far as it is told, 0 for no limit.
+func (s *Sender) limit(r *route) float64 {
+	if !r.reported && r.weight > 0 {
+		return r.weight
+	}
+	return r.limit
+}
+
+// slow tells that a destination's oldest call has been out far longer than usual: before any time-out has
+// passed, silence and crawling look like this. Its share of the slots is capped then.
+func (s *Sender) slow(d *destination) bool {
+	if len(d.calls) == 0 {
+		return false
+	}
+	c := d.calls[0]
+	return seconds(s.now-c.sentAt) > max(slowFactor*c.ep.usual, seconds(slowLeast))
+}
+
+// lameHeld counts the slots that lame destinations hold.
+func (s *Sender) lameHeld() int {
+	n := 0
+	for _, d := range s.active {
+		if len(d.calls) > 0 && s.lame(d) {
+			n += len(d.calls)
+		}
+	}
+	return n
+}
+
+// value is what a delivery at a moment is worth.
+func (s *Sender) value(m *message, at time.Duration) float64 {
+	age, late := at-m.born, m.class.LateWorth
+	switch {
+	case at > m.dropDead:
+		return 0
+	case age <= m.aim || m.aim <= 0:
+		return m.worth
+	case s.cfg.Halves:
+		return m.worth * max(late, math.Exp2(-float64(age-m.aim)/float64(m.aim)))
+	}
+	return m.worth * (1 - (1-late)*float64(age-m.aim)/float64(max(m.class.Deadline-m.aim, 1)))
+}
+
+func (s *Sender) spent(m *message) bool {
+	return s.cfg.MaxAttempts > 0 && m.attempts >= s.cfg.MaxAttempts
+}
+
+// fleet is the route as its keeper knows it, for the calls of all.
+func (s *Sender) fleet(e *endpoint) *route {
+	if e.route.fleet == nil {
+		e.route.fleet = newRoute()
+		e.route.fleet.whole = true
+		if s.lost != nil { // another may keep it still, and not know that it is taken for gone
+			e.route.fleet.part, e.route.fleet.partAt = takeOver, s.now
+		}
+	}
+	e.route.fleet.weight = e.route.weight
+	return e.route.fleet
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -145,41 +145,6 @@
 	return s.actions
 }
 
-// arm asks to be woken when a message's time is up, and soon while one waits for a slot, a rest or a pace.
-// What is out wakes the sender by its outcome; with nothing held it sleeps.
-func (s *Sender) arm() {
-	due := time.Duration(math.MaxInt64)
-	if s.askAt > 0 {
-		due = s.askAt
-	}
-	if len(s.kept) > 0 {
-		due = min(due, s.now+sweepEvery)
-	}
-	for _, m := range s.open {
-		due = min(due, max(m.dropDead-endMargin-s.cfg.Tick, s.now+sweepEvery))
-		if m.waits {
-			due = min(due, s.now+pollEvery)
-		}
-	}
-	if due < math.MaxInt64 && (s.wakeAt <= s.now || due < s.wakeAt) {
-		s.wakeAt = due
-		s.do(Wake{At: due, Tag: "sweep"})
-	}
-}
-
-// listed brings the list of endpoints up to date, and asks again for one that could not be had.
-func (s *Sender) listed(l Listed) {
-	if l.Failed {
-		s.asking = min(max(2*s.asking, trialFirst), time.Minute)
-		if s.cfg.AskForList {
-			s.askAt = s.now + s.asking
-		}
-		return
-	}
-	s.asking = 0
-	s.relist(l)
-}
-
 // setOut takes an endpoint out or puts it back, whatever its health and the list. Who takes one out most
 // likely restarts it, so it is taken for cold on its return.
 func (s *Sender) setOut(id string, out bool) {
@@ -233,21 +198,6 @@
 	s.hold(m, e.Key)
 }
 
-// inShare counts a request against its tenant's share, of which this sender sees its part.
-func (s *Sender) inShare(i int) bool {
-	if i < 0 || i >= len(s.tenants) || s.cfg.Tenants[i].PerSecond <= 0 {
-		return true
-	}
-	t, rate := &s.tenants[i], s.cfg.Tenants[i].PerSecond/float64(s.cfg.Fleet)
-	t.tokens = min(t.tokens+rate*seconds(s.now-t.at), 2*rate+1)
-	t.at = s.now
-	if t.tokens < 1 {
-		return false
-	}
-	t.tokens--
-	return true
-}
-
 // admit asks the gate, at arrival. Beside the paper's ratio stand two departures: the deadline bounds, and
 // a share of the room for held messages, since one backlog must not turn everybody else's messages away.
 func (s *Sender) admit(d *destination, m *message) bool {
@@ -283,19 +233,6 @@
 	return !g.shut
 }
 
-// sample takes a response time into the average, and keeps the lowest average as the baseline.
-func (g *gate) sample(now time.Duration, sec float64) {
-	if !g.seen {
-		g.seen, g.average, g.baseline, g.at = true, sec, sec, now
-		return
-	}
-	gap := seconds(now - g.at)
-	w := max(smoothing, 1-math.Exp(-gap/seconds(smoothSpan)))
-	g.average += w * (sec - g.average)
-	g.baseline = min(g.baseline*math.Exp(gap/seconds(baselineSpan)), g.average)
-	g.at = now
-}
-
 // retryAfter asks a refused client to stay away for about as long as the backlog lasts.
 func (s *Sender) retryAfter(d *destination) time.Duration {
 	after := s.cfg.MaxRetryAfter
@@ -313,12 +250,6 @@
 	return m.class.Effect == Keyed && m.touched && m.class.GroupAll && s.now <= s.windowEnd(m)
 }
 
-// windowEnd is the last moment at which a keyed message's repeat is surely dropped: its call may begin as
-// late as a connect takes at the most.
-func (s *Sender) windowEnd(m *message) time.Duration {
-	return m.mayRun + m.class.Window - s.cfg.DialTimeout - endMargin - 2*s.cfg.Tick
-}
-
 // giveUp ends a message as its effect allows.
 func (s *Sender) giveUp(m *message) {
 	if s.mayRefuse(m) {
@@ -394,10 +325,6 @@
 	return e.Outcome == Cut && e.Reused && seconds(e.Took) < c.ep.usual/2
 }
 
-func (s *Sender) spent(m *message) bool {
-	return s.cfg.MaxAttempts > 0 && m.attempts >= s.cfg.MaxAttempts
-}
-
 // sample is the one place that turns outcomes into gate samples. Whatever did not deliver is charged as slow,
 // or fast errors would make the ratio read healthy while everything is rejected; a refusal for being over a
 // limit is pacing news and no sample, for the hold that follows shows in the final one. Of a message held
@@ -620,22 +547,6 @@
 	return r.part * limit, limit > 0
 }
 
-// even is a sender's even part of what a route takes; all of it where the route stands for all senders.
-func (s *Sender) even(r *route) float64 {
-	if r.whole {
-		return 1
-	}
-	return 1 / float64(s.cfg.Fleet)
-}
-
-// limit is what the route takes a second from all senders as far as it is told, 0 for no limit.
-func (s *Sender) limit(r *route) float64 {
-	if !r.reported && r.weight > 0 {
-		return r.weight
-	}
-	return r.limit
-}
-
 // refill brings the token bucket up to now. On the way back from an outage nothing is saved up for a burst.
 func (s *Sender) refill(r *route) {
 	rate, bound := s.pace(r)
@@ -654,16 +565,6 @@
 	r.tokensAt = s.now
 }
 
-// slow tells that a destination's oldest call has been out far longer than usual: before any time-out has
-// passed, silence and crawling look like this. Its share of the slots is capped then.
-func (s *Sender) slow(d *destination) bool {
-	if len(d.calls) == 0 {
-		return false
-	}
-	c := d.calls[0]
-	return seconds(s.now-c.sentAt) > max(slowFactor*c.ep.usual, seconds(slowLeast))
-}
-
 // lame tells that a destination is slow, or that at each of its routes the last call failed. With few slots,
 // first tries at silent destinations held them all.
 func (s *Sender) lame(d *destination) bool {
@@ -675,17 +576,6 @@
 	return true
 }
 
-// lameHeld counts the slots that lame destinations hold.
-func (s *Sender) lameHeld() int {
-	n := 0
-	for _, d := range s.active {
-		if len(d.calls) > 0 && s.lame(d) {
-			n += len(d.calls)
-		}
-	}
-	return n
-}
-
 // heldBack tells that lame destinations, of which this is one, hold their share of the slots.
 func (s *Sender) heldBack(d *destination) bool {
 	return s.lame(d) && s.cfg.Slots > 0 && float64(s.lameHeld()) >= max(1, slowShare*float64(s.cfg.Slots))
@@ -798,20 +688,6 @@
 	return s.value(m, s.now+usual) - s.value(m, s.now+usual+wait)
 }
 
-// value is what a delivery at a moment is worth.
-func (s *Sender) value(m *message, at time.Duration) float64 {
-	age, late := at-m.born, m.class.LateWorth
-	switch {
-	case at > m.dropDead:
-		return 0
-	case age <= m.aim || m.aim <= 0:
-		return m.worth
-	case s.cfg.Halves:
-		return m.worth * max(late, math.Exp2(-float64(age-m.aim)/float64(m.aim)))
-	}
-	return m.worth * (1 - (1-late)*float64(age-m.aim)/float64(max(m.class.Deadline-m.aim, 1)))
-}
-
 // draw picks an endpoint at random among those that pass a check, odds falling with smoothed latency.
 func (s *Sender) draw(m *message, check func(*message, *endpoint) bool) *endpoint {
 	total := 0.0
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -56,19 +56,6 @@
 	return 1 - float64(lost)/float64(s.cfg.Fleet)
 }
 
-// fleet is the route as its keeper knows it, for the calls of all.
-func (s *Sender) fleet(e *endpoint) *route {
-	if e.route.fleet == nil {
-		e.route.fleet = newRoute()
-		e.route.fleet.whole = true
-		if s.lost != nil { // another may keep it still, and not know that it is taken for gone
-			e.route.fleet.part, e.route.fleet.partAt = takeOver, s.now
-		}
-	}
-	e.route.fleet.weight = e.route.weight
-	return e.route.fleet
-}
-
 // claims asks for what the waiting messages could use now.
 func (s *Sender) claims() {
 	for _, d := range s.active {
