Give senders a standing allowance for when their keeper is silent

Alone, in turn, each of 300 senders had a whole call to begin with: stepped fleets made 864 refused calls and passed 29.

Now a claim has an allowance: each message that waits or arrives adds the part of a call that arrivals of late were granted, going over to an even part of the limit in 10 s; where each sender begins is left to chance; refusals halve it. It is used once a keeper has been silent for 450 ms, and by who is alone. Those that come back tell a keeper that was silent of outages it did not hear of; keepers of later rank begin with a half, a quarter, an eighth, so that all that believe themselves keeper stay under twice the limit; who is alone asks for the first keeper in between.

--- a/choice/account.go
+++ b/choice/account.go
@@ -136,10 +136,28 @@
 	if e.route.fleet == nil {
 		e.route.fleet = newRoute()
 		e.route.fleet.whole = true
-		if s.lost != nil { // another may keep it still, and not know that it is taken for gone
-			e.route.fleet.part, e.route.fleet.partAt = takeOver, s.now
-		}
+		e.route.fleet.part, e.route.fleet.partAt = s.beginAt(e.dest), s.now
 	}
 	e.route.fleet.weight = e.route.weight
 	return e.route.fleet
 }
+
+// warn tells a keeper that was silent of the outages that this sender has met meanwhile.
+func (s *Sender) warn(d *destination, keeper int) {
+	told := map[*route]bool{}
+	for _, e := range d.endpoints {
+		if r := e.route; r.recovering() && !told[r] {
+			told[r] = true
+			n := note{kind: noteCold, dest: d.id, route: s.mark(e)}
+			if !r.sick {
+				n.count, n.wait = 1, s.now-r.coldFrom
+			}
+			s.note(keeper, n)
+		}
+	}
+}
+
+// grantRate is how many calls a second the keeper granted of late.
+func (c *claim) grantRate(now time.Duration) float64 {
+	return c.got * math.Exp(-seconds(now-c.gotAt)/seconds(demandSpan)) / seconds(demandSpan)
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -386,9 +386,13 @@
 			s.failure(ep.dest, r, shut, true)
 		} else {
 			s.cut(ep.dest, r)
+			if c := &ep.dest.claim; c.heardAt < c.askedAt {
+				c.allowed *= allowanceCut
+			}
 		}
 	default:
 		ep.response = ease(ep.response, max(2*ep.response, took, seconds(slowLeast)))
+		ep.dest.claim.failedAt = s.now
 		if e.Outcome == NoRoute && s.shun(ep) {
 			return
 		}
@@ -726,7 +730,7 @@
 	if s.governed(e.dest) {
 		return s.granted(e)
 	}
-	if r.tokens < 1 {
+	if r.tokens < 1 || s.shared() && !s.onAllowance(e) {
 		return false
 	}
 	return !r.sick || (!r.trial && s.now >= r.trialAt)
@@ -795,6 +799,7 @@
 		s.useGrant(e)
 	} else {
 		r.tokens--
+		d.claim.tokens--
 	}
 	if e.sentAt > 0 {
 		e.gap = ease(e.gap, seconds(s.now-e.sentAt))
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -33,6 +34,10 @@
 	fleetRestMost = time.Second            // longest rest of all after refusals in a row
 	splitLast     = 30 * time.Second       // who is gone without a word may call on elsewhere so long
 	takeOver      = 0.5                    // part of the limit that a keeper begins with
+	silentLast    = 450 * time.Millisecond // a keeper that has not answered for so long is silent, not a note lost
+	allowanceFade = 10 * time.Second       // in which an allowance goes from what was granted to an even part
+	allowanceCut  = 0.5                    // factor on it at a refusal over the limit,
+	allowanceGrow = 0.05                    // and what comes back a second
 )
 
 // met takes what membership tells of another sender. Who asked one that is gone asks the next at once.
@@ -56,6 +61,20 @@
 	return 1 - float64(lost)/float64(s.cfg.Fleet)
 }
 
+// beginAt is the part of a limit with which this sender begins to keep it. Those before it in rank may keep it still, and
+// not be heard by all: so each rank begins with half of the one before, and all that believe themselves keeper begin
+// with less than twice the limit together. Passes make it grow.
+func (s *Sender) beginAt(d *destination) float64 {
+	part := 1.0
+	if s.lost != nil {
+		part = takeOver
+	}
+	for rank := 0; rank < keeperRanks && s.keeper(d, rank) != s.cfg.Number; rank++ {
+		part *= takeOver
+	}
+	return part
+}
+
 // claims asks for what the waiting messages could use now.
 func (s *Sender) claims() {
 	for _, d := range s.active {
@@ -80,6 +99,9 @@
 		}
 		if !c.alone {
 			c.wanted = n
+			if unheard && s.now-c.silentAt >= silentLast {
+				s.warn(d, s.keeper(d, c.rank))
+			}
 			s.ask(d, s.keeper(d, c.rank), n, urgency, route)
 		}
 	}
@@ -106,8 +128,7 @@
 }
 
 // missed counts an ask without an answer: a silent keeper is given up for the next, and after the last of
-// them the sender goes on alone, at the pace of its own demand: what it holds by now is no more than its
-// part.
+// them the sender goes on alone, on its allowance.
 func (s *Sender) missed(d *destination) {
 	c := &d.claim
 	if c.misses++; c.misses < askMisses {
@@ -116,12 +137,43 @@
 	c.misses, c.wanted = 0, 0
 	if c.rank++; c.rank >= len(d.keepers) {
 		c.rank, c.alone = 0, true
-		for _, e := range d.endpoints {
-			if e.route.partAt < s.now { // endpoints may share it
-				s.cut(d, e.route)
-			}
+	}
+}
+
+// allowance is what an arrival adds to the calls that this sender may make on its own while its keeper is silent, and
+// what a second adds. An arrival adds the part of a call that arrivals of late were granted: over all senders that adds
+// up to what the keeper gave, however few messages each holds. With time it goes over to an even part of the limit. So
+// those who hear nobody stay about within the limit together, whatever each of them believes; a keeper that some do hear
+// grants these no more than the limit, and both together are under twice that, until the refusals cut both.
+func (s *Sender) allowance(d *destination) (arrival, second float64) {
+	c := &d.claim
+	for i, e := range d.endpoints {
+		if e.usable() && (i == 0 || s.apart(d)) {
+			second += s.limit(e.route) / float64(s.cfg.Fleet)
 		}
 	}
+	kept := math.Exp(-seconds(s.now-c.heardAt) / seconds(allowanceFade))
+	arrival = c.allowed * kept * c.share
+	second *= c.allowed * (1 - kept)
+	if c.failedAt > 0 && s.now-c.failedAt < s.cfg.WarmWithin { // it may have been down, and be back cold
+		arrival, second = arrival*s.cfg.ColdFrom, second*s.cfg.ColdFrom
+	}
+	return arrival, second
+}
+
+// onAllowance tells that the destination's keeper has been silent for so long that a call may go out without it, or
+// that there is none. While one may still come, nothing goes out on the way back from an outage: the cold budget is its.
+func (s *Sender) onAllowance(e *endpoint) bool {
+	c, r := &e.dest.claim, e.route
+	if !c.alone && (c.heardAt >= c.askedAt || s.now-c.silentAt < silentLast || r.recovering() || r.fails > 0) {
+		return false
+	}
+	passed := seconds(max(s.now-c.tokensAt, 0))
+	_, second := s.allowance(e.dest)
+	c.allowed = min(1, c.allowed+allowanceGrow*passed)
+	c.tokens = min(c.tokens+second*passed, max(c.tokens, 1))
+	c.tokensAt = max(c.tokensAt, s.now)
+	return c.tokens >= 1
 }
 
 // seek asks an earlier keeper, or when alone each in turn, whether it is there.
@@ -132,10 +184,10 @@
 	}
 	c.soughtAt = s.now
 	rank := 0
-	if c.alone {
-		rank = c.rank
-		c.rank = (c.rank + 1) % keeperRanks % max(len(d.keepers), 1)
+	if c.turn++; c.alone && c.turn%2 == 0 { // the first is asked in between, for all should come back to the same
+		rank = c.turn / 2 % max(len(d.keepers), 1)
 	}
+	s.warn(d, s.keeper(d, rank))
 	s.ask(d, s.keeper(d, rank), 0, 0, 0)
 }
 
@@ -163,6 +215,7 @@
 		}
 		c.heardAt, c.misses = s.now, 0
 		if n.count > 0 && c.fresh(n.seq) {
+			c.got, c.gotAt = c.grantRate(s.now)*seconds(demandSpan)+1, s.now
 			c.grants = append(c.grants, grant{n.route, s.now + grantLast})
 			c.wanted = max(c.wanted-1, 0)
 		}
@@ -174,6 +227,15 @@
 	if !slices.ContainsFunc(d.endpoints, (*endpoint).usable) {
 		return // of a destination that is not known here others can tell more
 	}
+	if from != s.cfg.Number {
+		if s.now-d.othersAt > askedLast { // they may come from another keeper, or from none
+			for _, e := range d.endpoints {
+				f := s.fleet(e)
+				f.part = min(f.part, s.beginAt(d))
+			}
+		}
+		d.othersAt = s.now
+	}
 	i := slices.IndexFunc(d.wants, func(w *want) bool { return w.from == from })
 	if i < 0 {
 		i = len(d.wants)
@@ -267,6 +329,19 @@
 	return best
 }
 
+// fleetStruck takes an outage that another sender has met while it heard no keeper, as the keeper: those who come back
+// all at once must not be granted what a cold destination can't do. Others who get through know better.
+func (s *Sender) fleetStruck(e *endpoint, sick bool, age time.Duration) {
+	f := s.fleet(e)
+	if f.recovering() || age > s.cfg.WarmWithin || (f.deliveredAt > 0 && s.now-f.deliveredAt < lostSign) {
+		return
+	}
+	s.cool(f)
+	if f.coldFrom = max(s.now-age, 1); sick {
+		s.strike(f)
+	}
+}
+
 // fleetHeard takes the end of any sender's call, as the keeper.
 func (s *Sender) fleetHeard(e *endpoint, from int, o Outcome, wait time.Duration) {
 	f := s.fleet(e)
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -22,6 +22,7 @@
 
 	limit, level         float64 // calls a second, and how many of them are free now
 	filled               time.Duration
+	spans                bool // the limit is a count in each second
 	down                 bool
 	odd                  float64      // share of the calls that are refused whatever the limit
 	old                  map[int]bool // senders whose list names an endpoint that is gone
@@ -156,7 +157,11 @@
 		w.failed++
 		return NoRoute, 30 * ms
 	}
-	w.level = min(w.level+w.limit*seconds(w.now-w.filled), w.limit/4)
+	if w.spans && w.now/time.Second != w.filled/time.Second {
+		w.level = w.limit
+	} else if !w.spans {
+		w.level = min(w.level+w.limit*seconds(w.now-w.filled), w.limit/4)
+	}
 	w.filled = w.now
 	w.level--
 	if w.level < 0 || w.rng.Float64() < w.odd {
--- a/choice/note.go
+++ b/choice/note.go
@@ -16,6 +16,7 @@
 	noteGrant noteKind = 'g' // the receiver may make so many calls
 	noteEnd   noteKind = 'e' // a call has ended
 	noteHand  noteKind = 'h' // the sender leaves, and the route takes so many 255ths of its limit
+	noteCold  noteKind = 'c' // the sender, which heard no keeper, knows that the route is struck, or for how long it has been back
 )
 
 const noteSize = 11
@@ -44,6 +45,9 @@
 	case noteGrant, noteHand:
 		b = binary.BigEndian.AppendUint16(b, n.seq)
 		b = append(b, byte(n.count))
+	case noteCold:
+		b = append(b, byte(n.count))
+		b = binary.BigEndian.AppendUint16(b, uint16(min(n.wait/time.Millisecond, 1<<16-1)))
 	case noteEnd:
 		b = append(b, byte(n.outcome))
 		b = binary.BigEndian.AppendUint16(b, uint16(min(n.wait/time.Millisecond, 1<<16-1)))
@@ -62,6 +66,9 @@
 		n.count, n.urgency = int(b[9]), b[10]
 	case (n.kind == noteGrant || n.kind == noteHand) && len(b) == 8:
 		n.seq, n.count = binary.BigEndian.Uint16(b[5:]), int(b[7])
+	case n.kind == noteCold && len(b) == 8:
+		n.count = int(b[5])
+		n.wait = time.Duration(binary.BigEndian.Uint16(b[6:])) * time.Millisecond
 	case n.kind == noteEnd && len(b) == 8 && Outcome(b[5]) <= Stale:
 		n.outcome = Outcome(b[5])
 		n.wait = time.Duration(binary.BigEndian.Uint16(b[6:])) * time.Millisecond
@@ -122,14 +129,17 @@
 		s.asked(d, from, n)
 	case noteGrant:
 		s.grantedBy(d, from, n)
-	case noteEnd, noteHand:
+	case noteEnd, noteHand, noteCold:
 		for _, e := range d.endpoints {
 			if s.mark(e) != n.route {
 				continue
 			}
-			if n.kind == noteEnd {
+			switch n.kind {
+			case noteEnd:
 				s.fleetHeard(e, from, n.outcome, n.wait)
-			} else {
+			case noteCold:
+				s.fleetStruck(e, n.count == 0, n.wait)
+			default:
 				f := s.fleet(e)
 				f.part, f.partAt = float64(n.count)/255, s.now
 			}
@@ -163,6 +173,13 @@
 func (s *Sender) ask(d *destination, keeper, n int, urgency float64, route uint16) {
 	c := &d.claim
 	if n > 0 {
+		if c.heardAt >= c.askedAt {
+			// Who has a part of a call in a second makes none or a whole one: where each begins is left to chance,
+			// so that all together make what they may from the first moment on, and not all at once.
+			c.silentAt, c.tokensAt = s.now, s.now+silentLast
+			c.share = min(1, (c.grantRate(s.now)*seconds(demandSpan)+0.5)/(d.rate(s.now)*seconds(demandSpan)+1.0))
+			c.tokens = s.rng.Float64() + c.share*float64(len(d.waiting))
+		}
 		c.askedAt = s.now
 	}
 	c.seq++
--- a/choice/state.go
+++ b/choice/state.go
@@ -58,10 +58,11 @@
 	came      float64 // messages that came of late, fading
 	cameAt    time.Duration
 	claim     claim
-	keepers   []int   // senders that keep its limit, the first before the others
-	wants     []*want // of senders that ask this one
-	kept      bool    // stands in the sender's list of those
-	active    bool    // stands in the sender's list of those with something to do
+	keepers   []int         // senders that keep its limit, the first before the others
+	wants     []*want       // of senders that ask this one
+	othersAt  time.Duration // last ask of another sender
+	kept      bool          // stands in the sender's list of those
+	active    bool          // stands in the sender's list of those with something to do
 }
 
 // claim is what a sender has asked and got of a destination's keeper.
@@ -74,9 +75,18 @@
 	heardAt    time.Duration
 	misses     int // asks in a row without an answer
 	soughtAt   time.Duration
+	turn       int    // of the keepers that are sought
 	grantSeq   uint16 // the furthest grant that has come
 	grantsSeen uint64 // which of those before it have
 	grants     []grant
+	silentAt   time.Duration // first ask since the keeper was last heard
+	got        float64       // grants that came of late, fading as arrivals do,
+	gotAt      time.Duration
+	share      float64 // and their part of the arrivals when the keeper fell silent
+	tokens     float64 // of the allowance
+	tokensAt   time.Duration
+	allowed    float64       // factor on it: refusals cut it
+	failedAt   time.Duration // last call that failed there, but for refusals
 }
 
 // grant is leave for one call.
@@ -210,7 +220,7 @@
 func (s *Sender) destination(id int) *destination {
 	d := s.dests[id]
 	if d == nil {
-		d = &destination{id: id, shared: newRoute()}
+		d = &destination{id: id, shared: newRoute(), claim: claim{allowed: 1}}
 		s.dests[id] = d
 		s.order = append(s.order, d)
 	}
@@ -452,7 +462,8 @@
 
 // granted tells that there is a grant for the endpoint's route.
 func (s *Sender) granted(e *endpoint) bool {
-	return slices.ContainsFunc(e.dest.claim.grants, func(g grant) bool { return g.route == s.mark(e) && s.now < g.until })
+	has := func(g grant) bool { return g.route == s.mark(e) && s.now < g.until }
+	return slices.ContainsFunc(e.dest.claim.grants, has) || s.onAllowance(e)
 }
 
 // useGrant takes a grant away for a call.
@@ -460,6 +471,8 @@
 	c := &e.dest.claim
 	if i := slices.IndexFunc(c.grants, func(g grant) bool { return g.route == s.mark(e) }); i >= 0 {
 		c.grants = slices.Delete(c.grants, i, i+1)
+	} else {
+		c.tokens--
 	}
 }
 
@@ -487,6 +500,10 @@
 		m.worth *= s.cfg.OverShareWorth
 	}
 	s.msgs[m.id] = m
+	if s.shared() && (d.claim.alone || d.claim.heardAt < d.claim.askedAt) {
+		arrival, _ := s.allowance(d)
+		d.claim.tokens += arrival
+	}
 	return m, d
 }
 
