Wait 600 ms before a keeper counts as silent, and let who takes a limit over have it soon

A keeper of later rank, which begins with a part, grows by its whole part a second while next to nothing is refused, or fleets whose first keeper is dead would go on with half.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -502,7 +502,11 @@
 	// A rare sender's part would never come back in steps of a second; it grows by its whole pause where the
 	// destination tells that there is room.
 	most := max(1, r.left*seconds(demandSpan))
-	r.part = min(1, r.part+partGrow*max(r.part, s.even(r))*min(most, seconds(s.now-r.partAt)))
+	grow := partGrow
+	if r.whole && r.full < fullCut/4 { // nothing says that it is too much: who took a limit over soon has all of it
+		grow = takeOverGrow
+	}
+	r.part = min(1, r.part+grow*max(r.part, s.even(r))*min(most, seconds(s.now-r.partAt)))
 	r.partAt = s.now
 	switch {
 	case r.sick:
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -34,7 +34,8 @@
 	fleetRestMost = time.Second            // longest rest of all after refusals in a row
 	splitLast     = 30 * time.Second       // who is gone without a word may call on elsewhere so long
 	takeOver      = 0.5                    // part of the limit that a keeper begins with
-	silentLast    = 450 * time.Millisecond // a keeper that has not answered for so long is silent, not a note lost
+	takeOverGrow  = 1.0                    // growth a second of it, while next to nothing is refused
+	silentLast    = 600 * time.Millisecond // a keeper that has not answered for so long is silent, not a note lost
 	allowanceFade = 10 * time.Second       // in which an allowance goes from what was granted to an even part
 	allowanceCut  = 0.5                    // factor on it at a refusal over the limit,
 	allowanceGrow = 0.05                    // and what comes back a second
