Remember over a restart what was learnt of destinations

A rolling restart of a fleet made every node learn every destination anew: response times, the gate's averages, the part of a limit that a keeper had found, outages under way. Now they stand in learnt.json (checksum, 24 KiB at most, written every 2 s at the most), and a new process begins with them, trusted less the older they are (a factor e in 30 s, none after 2 min). Absent, cut or flipped means a plain start.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -102,6 +102,8 @@
 			s.setOut(e.Endpoint, false)
 		case Member:
 			s.met(e)
+		case Recalled:
+			s.recalled(e)
 		}
 	}
 	for _, e := range events {
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -35,10 +35,11 @@
 	splitLast     = 30 * time.Second       // who is gone without a word may call on elsewhere so long
 	takeOver      = 0.5                    // part of the limit that a keeper begins with
 	takeOverGrow  = 1.0                    // growth a second of it, while next to nothing is refused
+	memorySpan    = 30 * time.Second       // what an earlier process had learnt fades in this
 	silentLast    = 600 * time.Millisecond // a keeper that has not answered for so long is silent, not a note lost
 	allowanceFade = 10 * time.Second       // in which an allowance goes from what was granted to an even part
 	allowanceCut  = 0.5                    // factor on it at a refusal over the limit,
-	allowanceGrow = 0.05                    // and what comes back a second
+	allowanceGrow = 0.05                   // and what comes back a second
 )
 
 // met takes what membership tells of another sender. Who asked one that is gone asks the next at once.
@@ -343,6 +344,22 @@
 	}
 }
 
+// recallRoute takes over what an earlier process knew of a route: the part of its limit that it kept, and an outage, for
+// the destination may be back cold by now, or has been cold for longer.
+func (s *Sender) recallRoute(e *endpoint, k RememberedRoute, age time.Duration, trust float64) {
+	known := e.route
+	if k.Part > 0 && s.shared() && s.keeper(e.dest, 0) == s.cfg.Number {
+		known = s.fleet(e)
+		known.part, known.partAt = 1-trust*(1-min(k.Part, 1)), s.now
+	}
+	if since := k.Cold + age; (k.Sick && age < s.cfg.WarmWithin || k.Cold > 0 && since < s.cfg.WarmWithin) && !known.recovering() {
+		s.cool(known)
+		if !k.Sick {
+			known.coldFrom = max(s.now-since, 1)
+		}
+	}
+}
+
 // fleetHeard takes the end of any sender's call, as the keeper.
 func (s *Sender) fleetHeard(e *endpoint, from int, o Outcome, wait time.Duration) {
 	f := s.fleet(e)
--- a/choice/types.go
+++ b/choice/types.go
@@ -203,6 +203,14 @@
 func (Rang) event()     {}
 func (Told) event()     {}
 
+// Recalled is what an earlier process of the node had learnt, so long ago.
+type Recalled struct {
+	Memory
+	Age time.Duration
+}
+
+func (Recalled) event() {}
+
 // Action is one decision: Send, PushBack, Fail, Cancel, Probe, HangUp, Tell, Wake, Watch or Note.
 type Action interface{ action() }
 
--- a/internal/lab/model/host.go
+++ b/internal/lab/model/host.go
@@ -32,6 +32,8 @@
 	open   int     // without their final answer
 	out    map[key]*call
 	calls  int
+	memory *choice.Memory             // what the last life had learnt,
+	learnt time.Duration              // until then
 	idle   map[string][]time.Duration // since when connections stand idle, by endpoint
 	waits  map[any]*time.Duration     // told waits: by destination, or by endpoint where routes are apart
 	list   map[string]choice.Phase
@@ -89,6 +91,9 @@
 		whole.Entries = append(whole.Entries, h.entryOf(w.eps[id], h.list[id]))
 	}
 	h.deliver(whole)
+	if h.memory != nil {
+		h.deliver(choice.Recalled{Memory: *h.memory, Age: w.now - h.learnt})
+	}
 	if !w.Day.Journal {
 		h.msgs, h.order, h.open = map[string]*held{}, nil, 0
 	}
@@ -120,6 +125,10 @@
 		return
 	}
 	h.up = false
+	if p, ok := h.policy.(interface{ Remember() choice.Memory }); ok && h.w.Day.Memory {
+		m := p.Remember()
+		h.memory, h.learnt = &m, h.w.now
+	}
 	h.w.tell(Event{What: Died, Node: h.n})
 	for _, c := range h.out {
 		if !c.done {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -103,10 +103,14 @@
 		}
 	}
 	known.Complete = true
+	n.learnt = newLearnt(n.cfg.State)
 	n.pool = n.newPool()
 	n.messages, n.owed, n.acts, n.held = map[string]*journal.Message{}, nil, nil, 0
 	clear(n.eps)
 	events := []choice.Event{n.listed(known)}
+	if c.State == nil && before == nil { // a sender that was carried over, or goes on, knows better
+		events = append(events, n.recalled()...)
+	}
 	for _, id := range slices.Sorted(maps.Keys(n.orders.out)) {
 		events = append(events, choice.Disabled{Endpoint: id})
 	}
--- a/internal/node/keptlist.go
+++ b/internal/node/keptlist.go
@@ -26,14 +26,11 @@
 
 // journalMB is what the disk's limit leaves for the journal.
 func journalMB(c config.Config) float64 {
-	if keptRoom(c) == 0 {
-		return float64(c.Limits.Disk)
-	}
 	mb := float64(c.Limits.Disk)
 	if mb <= 0 {
 		mb = journal.DefaultDiskMB
 	}
-	return mb - 2*float64(keptRoom(c))/(1<<20)
+	return mb - 2*float64(keptRoom(c)+learntRoom)/(1<<20)
 }
 
 func keptList(c config.Config) *listwatch.Kept {
--- /dev/null
+++ b/internal/node/learnt.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"time"
+
+	"harrierramp/choice"
+	"harrierramp/internal/atomicfile"
+)
+
+const (
+	learntName  = "learnt.json"
+	learntRoom  = 24 << 10        // for the file, and as much again while it is replaced
+	learntPause = 2 * time.Second // between writes
+	learntLast  = 2 * time.Minute // older than this it is worth nothing
+)
+
+// learnt is what the sender has learnt, in the lasting folder, so that a restart of the fleet does not learn every
+// destination anew in every node. Losing it loses only that. The loop owns it.
+type learnt struct {
+	path  string
+	dirty bool // calls have ended since the last write
+	next  time.Time
+}
+
+// learntFile is its lasting form.
+type learntFile struct {
+	At     int64           `json:"at"`  // Unix time in milliseconds
+	Sum    uint32          `json:"sum"` // CRC-32 of Memory
+	Memory json.RawMessage `json:"memory"`
+}
+
+func newLearnt(dir string) *learnt { return &learnt{path: filepath.Join(dir, learntName)} }
+
+// read returns what was written and how long ago; ok is false where there is nothing that can be used.
+func (l *learnt) read(now time.Time) (e choice.Recalled, ok bool, err error) {
+	raw, err := os.ReadFile(l.path)
+	if errors.Is(err, os.ErrNotExist) {
+		return e, false, nil
+	}
+	if err != nil {
+		return e, false, fmt.Errorf("learnt: %w", err)
+	}
+	var f learntFile
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return e, false, fmt.Errorf("learnt: %w", err)
+	}
+	if crc32.ChecksumIEEE(f.Memory) != f.Sum {
+		return e, false, errors.New("learnt: a wrong checksum")
+	}
+	if err := json.Unmarshal(f.Memory, &e.Memory); err != nil {
+		return e, false, fmt.Errorf("learnt: %w", err)
+	}
+	e.Age = now.Sub(time.UnixMilli(f.At))
+	return e, e.Age >= 0 && e.Age <= learntLast, nil
+}
+
+// write replaces the file. What is too large for its room is not kept.
+func (l *learnt) write(m choice.Memory, now time.Time) error {
+	l.dirty, l.next = false, now.Add(learntPause)
+	memory, err := json.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("learnt: %w", err)
+	}
+	raw, err := json.Marshal(learntFile{now.UnixMilli(), crc32.ChecksumIEEE(memory), memory})
+	if err != nil {
+		return fmt.Errorf("learnt: %w", err)
+	}
+	if len(raw) > learntRoom {
+		return fmt.Errorf("learnt: %d bytes, and room for %d", len(raw), learntRoom)
+	}
+	return atomicfile.Replace(l.path, raw)
+}
+
+// keepLearnt writes it down if it is due.
+func (n *Node) keepLearnt() {
+	if now := time.Now(); n.learnt != nil && n.learnt.dirty && !now.Before(n.learnt.next) {
+		if err := n.learnt.write(n.sender.Remember(), now); err != nil {
+			n.log.Warn("learnt_not_kept", "err", err)
+		}
+	}
+}
+
+// recalled is the event for what an earlier process has learnt, if there is any.
+func (n *Node) recalled() []choice.Event {
+	e, ok, err := n.learnt.read(time.Now())
+	if err != nil {
+		n.log.Warn("learnt_unusable", "err", err)
+	}
+	if !ok {
+		return nil
+	}
+	return []choice.Event{e}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	eps       map[string]*egress.Endpoint
 	members   map[string]listwatch.Member // the list as it is known
 	revision  int64                       // of it
+	learnt    *learnt                     // what the sender has learnt, on disk
 	kept      *listwatch.Kept             // of the last good list; nil if it is not kept
 	waits     map[int]*atomic.Int64       // of destinations whose endpoints share them
 	owed      []outbox.Notice             // not yet handed to the reporter
@@ -578,6 +579,7 @@
 		return nil // a predecessor told of it, and then was gone
 	}
 	m := o.m
+	n.learnt.dirty = true
 	n.figures.Attempted(int(e.Outcome), e.took)
 	if n.log.Enabled(context.Background(), slog.LevelDebug) {
 		n.log.Debug("attempt_ended", "msg_id", e.id, "dest", m.Dest, "endpoint", e.endpoint.ID, "attempt", e.n,
@@ -642,6 +644,7 @@
 	}
 	n.publish()
 	n.keepList()
+	n.keepLearnt()
 	for _, a := range fresh { // not refused, so taken on
 		n.acts = append(n.acts, func() { a.reply <- ingress.Answer{} })
 	}
