--- a/choice/choice.go
+++ b/choice/choice.go
@@ -505,7 +505,7 @@
 	// destination tells that there is room.
 	most := max(1, r.left*seconds(demandSpan))
 	grow := partGrow
-	if r.whole && r.full < fullCut/4 { // nothing says that it is too much: who took a limit over soon has all of it
+	if r.whole && r.full < fullCut/4 { // not too much, it seems: who took a limit over soon has all of it
 		grow = takeOverGrow
 	}
 	r.part = min(1, r.part+grow*max(r.part, s.even(r))*min(most, seconds(s.now-r.partAt)))
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -36,7 +36,7 @@
 	takeOver      = 0.5                    // part of the limit that a keeper begins with
 	takeOverGrow  = 1.0                    // growth a second of it, while next to nothing is refused
 	memorySpan    = 30 * time.Second       // what an earlier process had learnt fades in this
-	silentLast    = 600 * time.Millisecond // a keeper that has not answered for so long is silent, not a note lost
+	silentLast    = 600 * time.Millisecond // a keeper without an answer for so long is silent
 	allowanceFade = 10 * time.Second       // in which an allowance goes from what was granted to an even part
 	allowanceCut  = 0.5                    // factor on it at a refusal over the limit,
 	allowanceGrow = 0.05                   // and what comes back a second
@@ -63,9 +63,9 @@
 	return 1 - float64(lost)/float64(s.cfg.Fleet)
 }
 
-// beginAt is the part of a limit with which this sender begins to keep it. Those before it in rank may keep it still, and
-// not be heard by all: so each rank begins with half of the one before, and all that believe themselves keeper begin
-// with less than twice the limit together. Passes make it grow.
+// beginAt is the part of a limit with which this sender begins to keep it. Those before it in rank may keep
+// it still, and not be heard by all: so each rank begins with half of the one before, and all that believe
+// themselves keeper begin with less than twice the limit together. Passes make it grow.
 func (s *Sender) beginAt(d *destination) float64 {
 	part := 1.0
 	if s.lost != nil {
@@ -142,11 +142,12 @@
 	}
 }
 
-// allowance is what an arrival adds to the calls that this sender may make on its own while its keeper is silent, and
-// what a second adds. An arrival adds the part of a call that arrivals of late were granted: over all senders that adds
-// up to what the keeper gave, however few messages each holds. With time it goes over to an even part of the limit. So
-// those who hear nobody stay about within the limit together, whatever each of them believes; a keeper that some do hear
-// grants these no more than the limit, and both together are under twice that, until the refusals cut both.
+// allowance is what an arrival adds to the calls that this sender may make on its own while its keeper is
+// silent, and what a second adds. An arrival adds the part of a call that arrivals of late were granted: over
+// all senders that adds up to what the keeper gave, however few messages each holds. With time it goes over
+// to an even part of the limit. So those who hear nobody stay about within the limit together, whatever each
+// of them believes; a keeper that some do hear grants these no more than the limit, and both together are
+// under twice that, until the refusals cut both.
 func (s *Sender) allowance(d *destination) (arrival, second float64) {
 	c := &d.claim
 	for i, e := range d.endpoints {
@@ -163,11 +164,13 @@
 	return arrival, second
 }
 
-// onAllowance tells that the destination's keeper has been silent for so long that a call may go out without it, or
-// that there is none. While one may still come, nothing goes out on the way back from an outage: the cold budget is its.
+// onAllowance tells that the destination's keeper has been silent for so long that a call may go out without
+// it, or that there is none. While one may still come, nothing goes out on the way back from an outage: the
+// cold budget is its.
 func (s *Sender) onAllowance(e *endpoint) bool {
 	c, r := &e.dest.claim, e.route
-	if !c.alone && (c.heardAt >= c.askedAt || s.now-c.silentAt < silentLast || r.recovering() || r.fails > 0) {
+	heard := c.heardAt >= c.askedAt || s.now-c.silentAt < silentLast
+	if !c.alone && (heard || r.recovering() || r.fails > 0) {
 		return false
 	}
 	passed := seconds(max(s.now-c.tokensAt, 0))
@@ -186,7 +189,7 @@
 	}
 	c.soughtAt = s.now
 	rank := 0
-	if c.turn++; c.alone && c.turn%2 == 0 { // the first is asked in between, for all should come back to the same
+	if c.turn++; c.alone && c.turn%2 == 0 { // the first in between: all should come back to the same
 		rank = c.turn / 2 % max(len(d.keepers), 1)
 	}
 	s.warn(d, s.keeper(d, rank))
@@ -331,8 +334,9 @@
 	return best
 }
 
-// fleetStruck takes an outage that another sender has met while it heard no keeper, as the keeper: those who come back
-// all at once must not be granted what a cold destination can't do. Others who get through know better.
+// fleetStruck takes an outage that another sender has met while it heard no keeper, as the keeper: those who
+// come back all at once must not be granted what a cold destination can't do. Others who get through know
+// better.
 func (s *Sender) fleetStruck(e *endpoint, sick bool, age time.Duration) {
 	f := s.fleet(e)
 	if f.recovering() || age > s.cfg.WarmWithin || (f.deliveredAt > 0 && s.now-f.deliveredAt < lostSign) {
@@ -344,15 +348,16 @@
 	}
 }
 
-// recallRoute takes over what an earlier process knew of a route: the part of its limit that it kept, and an outage, for
-// the destination may be back cold by now, or has been cold for longer.
+// recallRoute takes over what an earlier process knew of a route: the part of its limit that it kept, and an
+// outage, for the destination may be back cold by now, or has been cold for longer.
 func (s *Sender) recallRoute(e *endpoint, k RememberedRoute, age time.Duration, trust float64) {
 	known := e.route
 	if k.Part > 0 && s.shared() && s.keeper(e.dest, 0) == s.cfg.Number {
 		known = s.fleet(e)
 		known.part, known.partAt = 1-trust*(1-min(k.Part, 1)), s.now
 	}
-	if since := k.Cold + age; (k.Sick && age < s.cfg.WarmWithin || k.Cold > 0 && since < s.cfg.WarmWithin) && !known.recovering() {
+	since, warm := k.Cold+age, s.cfg.WarmWithin
+	if (k.Sick && age < warm || k.Cold > 0 && since < warm) && !known.recovering() {
 		s.cool(known)
 		if !k.Sick {
 			known.coldFrom = max(s.now-since, 1)
