--- a/cmd/harrierramp/main_test.go
+++ b/cmd/harrierramp/main_test.go
@@ -203,3 +203,68 @@
 		},
 	})
 }
+
+// A second process on a running node's folder, or on its addresses, says so in one line and changes nothing; the first
+// goes on.
+func TestOneProcessAFolder(t *testing.T) {
+	list := newFakeDiscovery(t, `{"revision":2,"complete":true,"members":[]}`)
+	path, state := filepath.Join(t.TempDir(), "config.json"), t.TempDir()
+	writeConfig(t, path, list.Listener.Addr().String())
+	start := func(args ...string) *exec.Cmd {
+		cmd := exec.Command(os.Args[0], args...)
+		cmd.Env = append(os.Environ(), childEnv+"=1", "ROUTER_CONFIG="+path, "ROUTER_STATE="+state)
+		return cmd
+	}
+	first := start()
+	log, err := first.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := first.Start(); err != nil {
+		t.Fatal(err)
+	}
+	line, err := bufio.NewReader(log).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		io.Copy(io.Discard, log)
+	}()
+	t.Cleanup(func() {
+		first.Process.Kill()
+		<-ended
+		first.Wait() // its error says that it was killed
+	})
+	_, addr, _ := strings.Cut(strings.TrimSpace(line), " addr=")
+	receive(t, "the first is there", list.watches)
+	files := func() string {
+		names, err := os.ReadDir(state)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fmt.Sprint(names)
+	}
+	before := files()
+	for want, args := range map[string][]string{
+		"is in use by a running node": {"serve"},
+		"address already in use":      {"serve", "--state", t.TempDir(), "--listen", addr},
+	} {
+		var said strings.Builder
+		second := start(args...)
+		second.Stderr = &said
+		err := second.Run()
+		if bad, ok := errors.AsType[*exec.ExitError](err); !ok || bad.ExitCode() != 1 || strings.Count(said.String(), "\n") != 1 || !strings.Contains(said.String(), want) {
+			t.Errorf("%v: %v, %q", args, err, said.String())
+		}
+	}
+	if after := files(); after != before {
+		t.Errorf("the folder had %s, and has %s", before, after)
+	}
+	nc, err := net.DialTimeout("tcp", addr, patience)
+	if err != nil {
+		t.Fatal("the first is gone: ", err)
+	}
+	nc.Close()
+}
