--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -223,7 +223,11 @@
 	for i, e := range all {
 		at := t.Len * time.Duration(i) / time.Duration(len(all))
 		w.after(at, func() {
-			fresh := e.dest.add(EndpointSpec{ID: e.id + "r", Zone: e.zone})
+			id := e.id + "r" // a machine that replaces another has a new id
+			for w.eps[id] != nil {
+				id += "r"
+			}
+			fresh := e.dest.add(EndpointSpec{ID: id, Zone: e.zone})
 			w.change(fresh, choice.Ready)
 			w.after(time.Second, func() { w.change(e, choice.Draining) })
 			w.after(5*time.Second, func() { w.change(e, choice.Gone) })
