--- a/internal/lab/loopback/node.go
+++ b/internal/lab/loopback/node.go
@@ -20,6 +20,7 @@
 	"harrierramp/choice"
 	"harrierramp/internal/client"
 	"harrierramp/internal/lab/model"
+	"harrierramp/internal/listwatch"
 )
 
 const maxClients = 32 // connections to one node
@@ -40,28 +41,11 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	dead     chan struct{} // closed when the process has ended
-	revision int
-	members  map[string]member
+	revision int64
+	members  map[string]listwatch.Member
 	watchers map[chan []byte]bool
 }
 
-// member is discovery's form of an endpoint.
-type member struct {
-	ID       string  `json:"id"`
-	Addr     string  `json:"host_port"`
-	Locality string  `json:"locality"`
-	Flavor   string  `json:"flavor"`
-	Cell     int     `json:"cell"`
-	Phase    string  `json:"phase"`
-	Size     float64 `json:"size"`
-}
-
-type list struct {
-	Revision int      `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []member `json:"members"`
-}
-
 func newNode(r *run, n int, dir string) (*node, error) {
 	if err := os.MkdirAll(filepath.Join(dir, "state"), 0o700); err != nil {
 		return nil, err
@@ -82,7 +66,7 @@
 	}
 	x := &node{
 		r: r, n: n, dir: dir, addr: ln.Addr().String(), peerAddr: peer.LocalAddr().String(), front: front, sockets: map[string]*socket{},
-		clients: make(chan *client.Client, maxClients), revision: 1, members: map[string]member{}, watchers: map[chan []byte]bool{},
+		clients: make(chan *client.Client, maxClients), revision: 1, members: map[string]listwatch.Member{}, watchers: map[chan []byte]bool{},
 	}
 	for range maxClients {
 		x.clients <- client.New(x.addr, client.Patience)
@@ -110,7 +94,7 @@
 func (x *node) set(e model.Listed) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	m := member{
+	m := listwatch.Member{
 		ID: e.Endpoint, Addr: x.sockets[e.Endpoint].addr, Locality: fmt.Sprint("z", e.Zone), Flavor: fmt.Sprint("k", e.Kind), Cell: e.Dest,
 		Phase: phases[e.Phase], Size: e.Weight,
 	}
@@ -118,7 +102,7 @@
 	if x.members[m.ID] = m; e.Phase == choice.Gone {
 		delete(x.members, m.ID)
 	}
-	line, err := json.Marshal(list{x.revision, false, []member{m}})
+	line, err := json.Marshal(listwatch.List{Revision: x.revision, Members: []listwatch.Member{m}})
 	if err != nil {
 		fmt.Fprintf(x.r.Log, "loopback: %v\n", err)
 		return
@@ -131,8 +115,8 @@
 	}
 }
 
-func (x *node) whole() list {
-	l := list{Revision: x.revision, Complete: true, Members: []member{}}
+func (x *node) whole() listwatch.List {
+	l := listwatch.List{Revision: x.revision, Complete: true, Members: []listwatch.Member{}}
 	for _, m := range x.members {
 		l.Members = append(l.Members, m)
 	}
--- a/internal/lab/model/call.go
+++ b/internal/lab/model/call.go
@@ -116,29 +116,21 @@
 }
 
 // expire is the end of the node's patience.
-func (c *call) expire() {
-	if c.done {
-		return
-	}
-	if !c.written {
-		c.end(choice.NoRoute, 0)
-		return
-	}
-	c.ep.conns--
-	c.end(choice.TooSlow, 0)
-}
+func (c *call) expire() { c.giveUp(choice.TooSlow) }
 
 // cancel gives the call up.
-func (c *call) cancel() {
-	if c.done {
-		return
-	}
-	if !c.written {
+func (c *call) cancel() { c.giveUp(choice.Undone) }
+
+// giveUp closes the connection; a call whose last byte was not out has not run.
+func (c *call) giveUp(o choice.Outcome) {
+	switch {
+	case c.done:
+	case !c.written:
 		c.end(choice.NoRoute, 0)
-		return
+	default:
+		c.ep.conns--
+		c.end(o, 0)
 	}
-	c.ep.conns--
-	c.end(choice.Undone, 0)
 }
 
 // end tells the node how the call ended, once, if that life of it still lasts.
