Walk a configuration in one place, and take out what the change left behind

checked walked the structure as each does and now calls it; Platform and the Jackson closed form served tests only and moved there; counters of partners that nobody read, a field of the paper's controls, two leftovers in the lab's draw went, and the factor on the lab's traffic has a name that says so.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -49,7 +49,9 @@
 
 // Both forms say the same to the module; what people leave out has its default, what the platform leaves out stays zero.
 func TestBothFormsAreOneStructure(t *testing.T) {
-	p, err := Platform(write(t, "c.json", platform), "/s")
+	p, err := Load(Sources{File: write(t, "c.json", platform), Env: func(name string) string {
+		return map[string]string{"ROUTER_STATE": "/s"}[name]
+	}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -78,24 +78,6 @@
 	return l, nil
 }
 
-// Platform reads the configuration of a node as the platform starts it: a file, a lasting folder, and the address of
-// the operators' door, which two processes of one node don't share.
-func Platform(path, state string) (Config, error) {
-	l, err := Load(Sources{File: path, Env: func(name string) string {
-		switch name {
-		case "ROUTER_STATE":
-			return state
-		case "ROUTER_CONSOLE":
-			return os.Getenv(name)
-		}
-		return ""
-	}})
-	if err != nil {
-		return Config{}, err
-	}
-	return l.Config, nil
-}
-
 func readFile(path string) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err != nil {
@@ -313,43 +295,21 @@
 
 // checked holds every value against what its tags say.
 func (l *Loaded) checked(file string, lines map[string]int, broken map[string]bool) (faults Faults) {
-	var walk func(v reflect.Value, prefix string)
-	walk = func(v reflect.Value, prefix string) {
-		for i := range v.NumField() {
-			t := v.Type().Field(i)
-			name := t.Tag.Get("toml")
-			if name == "-" || name == "" {
-				continue
-			}
-			path, at := prefix+name, v.Field(i)
-			if at.Kind() == reflect.Pointer {
-				if at.IsNil() {
-					continue
-				}
-				at = at.Elem()
-			}
-			switch {
-			case isTable(at.Type()):
-				walk(at, path+".")
-			case at.Kind() == reflect.Slice && isTable(at.Type().Elem()):
-				for n := range at.Len() {
-					walk(at.Index(n), fmt.Sprintf("%s[%d].", path, n))
-				}
-			case !broken[path]:
-				f := field{path: path, typ: at.Type(), tag: t.Tag}
-				for _, text := range f.check(at, l.Origin[path] != "") {
-					one := Fault{File: file, Line: lines[path], Key: path, Text: text}
-					if from := l.Origin[path]; from != "" && !strings.HasPrefix(from, file+":") {
-						one = Fault{Key: path, Text: text + " (" + from + ")"}
-					} else if one.Line == 0 { // a table's line, where the value is missing
-						one.Line = lines[strings.TrimSuffix(prefix, ".")]
-					}
-					faults = append(faults, one)
-				}
+	_ = l.each(func(path string, v reflect.Value, tag reflect.StructTag) error { // visit has no error
+		if broken[path] {
+			return nil
+		}
+		for _, text := range (field{path: path, typ: v.Type(), tag: tag}).check(v, l.Origin[path] != "") {
+			one := Fault{File: file, Line: lines[path], Key: path, Text: text}
+			if from := l.Origin[path]; from != "" && !strings.HasPrefix(from, file+":") {
+				one = Fault{Key: path, Text: text + " (" + from + ")"}
+			} else if one.Line == 0 { // a table's line, where the value is missing
+				one.Line = lines[path[:max(strings.LastIndexByte(path, '.'), 0)]]
 			}
+			faults = append(faults, one)
 		}
-	}
-	walk(reflect.ValueOf(l.Config), "")
+		return nil
+	})
 	d := l.Deployment
 	whole := func(key, text string) {
 		faults = append(faults, Fault{File: file, Line: lines[key], Key: key, Text: text})
--- a/internal/lab/model/day.go
+++ b/internal/lab/model/day.go
@@ -171,11 +171,10 @@
 	for i := range d.Nodes {
 		d.Nodes[i].Rate *= full * u(load[0], load[1]) / total
 	}
-	d.Dests = drawDests(r, full, d.Classes)
-	for i, share := range []float64{0.45, 0.19, 0.15, 0.11, 0.1} {
+	d.Dests = drawDests(r, full)
+	for _, share := range []float64{0.45, 0.19, 0.15, 0.11, 0.1} {
 		d.Tenants = append(d.Tenants, TenantSpec{Share: share * u(0.6, 1.3)})
 		d.Settings.Tenants = append(d.Settings.Tenants, choice.Tenant{PerSecond: share * full * 0.83})
-		_ = i
 	}
 	slots := max(4, int(math.Ceil(u(2, 2.4)*perNode*0.4)))
 	open := max(12, int(u(5.7, 12)*perNode))
@@ -196,17 +195,13 @@
 
 // drawDests draws the destinations: a few get much of the traffic, and the large ones are mostly of the kind whose
 // endpoints are routes apart.
-func drawDests(r *rand.Rand, full float64, classes []ClassSpec) (out []DestSpec) {
+func drawDests(r *rand.Rand, full float64) (out []DestSpec) {
 	u := func(from, to float64) float64 { return from + (to-from)*r.Float64() }
 	count, zipf := 12+r.IntN(4), u(0.74, 0.96)
 	total := 0.0
 	for i := range count {
 		total += math.Pow(float64(i+1), -zipf)
 	}
-	work := 0.0
-	for _, c := range classes {
-		work += c.Share * c.Work.Seconds()
-	}
 	for i := range count {
 		s := DestSpec{Share: math.Pow(float64(i+1), -zipf) / total, Kind: 1, Service: u(0.85, 1.1), Errors: u(0, 0.005)}
 		if r.Float64() < 0.6-0.6*float64(i)/float64(count) {
@@ -238,7 +233,6 @@
 		for range ends {
 			s.Endpoints = append(s.Endpoints, EndpointSpec{ID: fmt.Sprintf("d%d-e%d-%04x", i, len(s.Endpoints), r.IntN(1<<16)), Zone: r.IntN(2)})
 		}
-		_ = work
 		out = append(out, s)
 	}
 	return out
--- a/internal/lab/model/front.go
+++ b/internal/lab/model/front.go
@@ -70,7 +70,7 @@
 		return
 	}
 	w := f.w
-	rate := f.nodes[len(f.nodes)-1] * w.trust
+	rate := f.nodes[len(f.nodes)-1] * w.surge
 	if rate <= 0 {
 		return
 	}
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -31,7 +31,7 @@
 	dests []*dest
 	eps   map[string]*endpoint
 	rng   streams
-	trust float64 // present factor on the traffic
+	surge float64 // present factor on the traffic
 	fail  error
 	Steps int64 // events of the run so far
 	made  int   // messages
@@ -63,7 +63,7 @@
 
 // New makes a run that Run plays. obs hears of all that happens.
 func New(day Day, policy Maker, obs Observer) *World {
-	w := &World{Day: day, now: start, obs: obs, make: policy, eps: map[string]*endpoint{}, rng: newStreams(day.Seed), trust: 1}
+	w := &World{Day: day, now: start, obs: obs, make: policy, eps: map[string]*endpoint{}, rng: newStreams(day.Seed), surge: 1}
 	for i := range day.Dests {
 		w.dests = append(w.dests, newDest(w, i))
 	}
@@ -188,8 +188,8 @@
 	case Replace:
 		w.replace(t)
 	case Surge:
-		w.trust *= t.Size
-		w.after(t.Len, func() { w.trust /= t.Size })
+		w.surge *= t.Size
+		w.after(t.Len, func() { w.surge /= t.Size })
 	}
 }
 
--- a/internal/lab/paper/control.go
+++ b/internal/lab/paper/control.go
@@ -9,7 +9,6 @@
 type control struct {
 	average float64 // smoothed response time
 	decide  func(now, ratio float64) bool
-	state   *state
 }
 
 type state struct {
@@ -36,7 +35,7 @@
 		return func(_, x float64) bool { return x <= at || r.Float64() < (at/x)*(at/x) }
 	}
 	level := func(at float64) func(now, x float64) bool { return func(_, x float64) bool { return x <= at } }
-	c := control{state: st}
+	var c control
 	switch name {
 	case "bbc20-40":
 		c.decide = bbc(20, 40)
--- a/internal/lab/paper/paper_test.go
+++ b/internal/lab/paper/paper_test.go
@@ -6,7 +6,7 @@
 )
 
 // Uniform selection without state is a Jackson network: the play and the closed form are within 2%.
-func TestAgainstJackson(t *testing.T) {
+func TestAgainstjackson(t *testing.T) {
 	for _, load := range []float64{0.3, 0.6, 0.75} {
 		got, n := 0.0, 3
 		for seed := range n {
@@ -14,14 +14,14 @@
 		}
 		// The rates differ by proxy; their spread moves the proxies' part by little.
 		each := load
-		want := Jackson([]float64{each, each, each, each}, 4, proxySpeed)
+		want := jackson([]float64{each, each, each, each}, 4, proxySpeed)
 		if diff := math.Abs(got-want) / want; diff > 0.02 {
 			t.Errorf("load %v: %.4f, in closed form %.4f, %.1f%% off", load, got, want, 100*diff)
 		} else {
 			t.Logf("load %v: %.4f, in closed form %.4f, %.2f%% off", load, got, want, 100*diff)
 		}
 	}
-	if !math.IsInf(Jackson([]float64{4}, 4, 16), 1) {
+	if !math.IsInf(jackson([]float64{4}, 4, 16), 1) {
 		t.Error("a full load has an end")
 	}
 }
@@ -35,3 +35,24 @@
 		t.Errorf("nobody came, and %+v", r)
 	}
 }
+
+// jackson is the mean response time of sessions of one message in closed form, for uniform selection with no bound on
+// the queues: each station is an M/M/1 queue (Kleinrock). Rates are the proxies' arrivals; it is infinite where a
+// station is overloaded.
+func jackson(rates []float64, servers int, proxyRate float64) float64 {
+	total, mean := 0.0, 0.0
+	for _, r := range rates {
+		total += r
+	}
+	each := total / float64(servers)
+	if each >= 1 {
+		return math.Inf(1)
+	}
+	for _, r := range rates {
+		if r >= proxyRate {
+			return math.Inf(1)
+		}
+		mean += r / total * (1/(proxyRate-r) + 1/(1-each))
+	}
+	return mean
+}
--- a/internal/lab/paper/sim.go
+++ b/internal/lab/paper/sim.go
@@ -6,7 +6,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -240,24 +239,3 @@
 	s.responses = append(s.responses, took)
 	s.controls[j.proxy].heard(took)
 }
-
-// Jackson is the mean response time of sessions of one message in closed form, for uniform selection with no bound on
-// the queues: each station is an M/M/1 queue (Kleinrock). Rates are the proxies' arrivals; it is infinite where a
-// station is overloaded.
-func Jackson(rates []float64, servers int, proxyRate float64) float64 {
-	total, mean := 0.0, 0.0
-	for _, r := range rates {
-		total += r
-	}
-	each := total / float64(servers)
-	if each >= 1 {
-		return math.Inf(1)
-	}
-	for _, r := range rates {
-		if r >= proxyRate {
-			return math.Inf(1)
-		}
-		mean += r / total * (1/(proxyRate-r) + 1/(1-each))
-	}
-	return mean
-}
--- a/internal/node/fellows_test.go
+++ b/internal/node/fellows_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"harrierramp/internal/admin"
-	"harrierramp/internal/config"
 	"harrierramp/internal/testkit"
 )
 
@@ -78,7 +77,7 @@
 
 func (f *fleetOf) start(i int) {
 	f.t.Helper()
-	cfg, err := config.Platform(f.config(i, quickly), f.state[i])
+	cfg, err := loadConfig(f.config(i, quickly), f.state[i])
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -212,15 +211,15 @@
 		`,"membership":{},"peers":["127.0.0.1:1"]`:        "peers",
 		`,"membership":{},"peers":["a:1","b:1","a:1"]`:    "told apart",
 	} {
-		if _, err := config.Platform(f.config(0, section), t.TempDir()); err == nil || !strings.Contains(err.Error(), says) {
+		if _, err := loadConfig(f.config(0, section), t.TempDir()); err == nil || !strings.Contains(err.Error(), says) {
 			t.Errorf("%s: %v", section, err)
 		}
 	}
-	if cfg, err := config.Platform(f.config(0, `,"membership":{}`), t.TempDir()); err != nil || cfg.Membership.PingPeriod() != 500*time.Millisecond {
+	if cfg, err := loadConfig(f.config(0, `,"membership":{}`), t.TempDir()); err != nil || cfg.Membership.PingPeriod() != 500*time.Millisecond {
 		t.Errorf("the defaults: %v", err)
 	}
 	f.peers = f.peers[:2]
-	if _, err := config.Platform(f.config(1, `,"membership":{},"settings":{"myNumber":2,"limits":{"mayTell":true}}`), t.TempDir()); err == nil {
+	if _, err := loadConfig(f.config(1, `,"membership":{},"settings":{"myNumber":2,"limits":{"mayTell":true}}`), t.TempDir()); err == nil {
 		t.Error("a number that is none of the peers")
 	}
 }
--- a/internal/node/listservice_test.go
+++ b/internal/node/listservice_test.go
@@ -32,7 +32,7 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := config.Platform(path, t.TempDir()); err == nil || !strings.Contains(err.Error(), says) {
+		if _, err := loadConfig(path, t.TempDir()); err == nil || !strings.Contains(err.Error(), says) {
 			t.Errorf("%s: %v", section, err)
 		}
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -155,6 +155,20 @@
 	"limits":{"cancel":true,"connIdle":5000,"dialTimeout":1000,"maxAttempts":12,"maxOpen":4,"maxRetryAfter":3000,"mayDuplicate":true,"retryAfter":true},
 	"tick":5,"weights":"rough"}`
 
+// loadConfig reads a configuration as the platform starts a node.
+func loadConfig(path, state string) (config.Config, error) {
+	l, err := config.Load(config.Sources{File: path, Env: func(name string) string {
+		if name == "ROUTER_STATE" {
+			return state
+		}
+		return os.Getenv(name)
+	}})
+	if err != nil {
+		return config.Config{}, err
+	}
+	return l.Config, nil
+}
+
 // writeConfig writes a node's configuration and returns its path.
 func writeConfig(t *testing.T, listen, discovery string, known ...string) string {
 	t.Helper()
@@ -187,7 +201,7 @@
 		t.Fatal(err)
 	}
 	addr, door = ln.Addr().String(), doorLn.Addr().String()
-	cfg, err := config.Platform(writeConfig(t, addr, r.addr(), known...), state)
+	cfg, err := loadConfig(writeConfig(t, addr, r.addr(), known...), state)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -405,7 +419,7 @@
 }
 
 func childMain() error {
-	cfg, err := config.Platform(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_STATE"))
+	cfg, err := loadConfig(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_STATE"))
 	if err != nil {
 		return err
 	}
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -19,7 +19,6 @@
 	"testing"
 	"time"
 
-	"harrierramp/internal/config"
 	"harrierramp/internal/handover"
 	"harrierramp/internal/ingress"
 	"harrierramp/internal/testkit"
@@ -130,7 +129,7 @@
 
 // upgradeMain is a process of a node that is being upgraded.
 func upgradeMain() error {
-	cfg, err := config.Platform(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_STATE"))
+	cfg, err := loadConfig(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_STATE"))
 	if err != nil {
 		return err
 	}
--- a/internal/partner/partner.go
+++ b/internal/partner/partner.go
@@ -81,11 +81,9 @@
 	served sync.WaitGroup
 	shut   atomic.Bool
 
-	mu      sync.Mutex
-	tokens  float64
-	filled  time.Time
-	Refused atomic.Int64 // calls above the limit, or while it was shut
-	Calls   atomic.Int64
+	mu     sync.Mutex
+	tokens float64
+	filled time.Time
 }
 
 // Start serves on a free port of loopback until Close.
@@ -126,14 +124,11 @@
 		http.NotFound(w, r)
 		return
 	}
-	p.Calls.Add(1)
 	if p.shut.Load() {
-		p.Refused.Add(1)
 		http.Error(w, "shut", http.StatusServiceUnavailable)
 		return
 	}
 	if wait, ok := p.take(time.Now()); !ok {
-		p.Refused.Add(1)
 		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 		http.Error(w, "above the limit", http.StatusTooManyRequests)
 		return
