--- a/internal/cli/registry.go
+++ b/internal/cli/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -64,6 +65,14 @@
 	f.Float64Var(&o.server.Options.PreserveShare, "preserve-share", o.server.Options.PreserveShare,
 		"no lease lapses while more than this share of the instances is silent")
 	f.DurationVar(&o.server.Options.PreserveFor, "preserve-for", o.server.Options.PreserveFor, "for so long at most")
+	f.Func("source", "IP address that connections to the other servers come from (default: the system's choice)", func(v string) error {
+		ip := net.ParseIP(v)
+		if ip == nil {
+			return fmt.Errorf("%q is no IP address", v)
+		}
+		o.server.Source = &net.TCPAddr{IP: ip}
+		return nil
+	})
 	f.StringVar(&o.level, "log-level", "info", "debug, info, warn or error")
 	f.StringVar(&o.format, "log-format", "text", "text or json")
 	return c
@@ -72,6 +81,7 @@
 func runRegistry(log *slog.Logger, o registryOptions) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	signal.Ignore(syscall.SIGXFSZ) // a bound on the size of files is met as an error of the write, like a full disk
 	s, err := registry.New(o.server, log)
 	if err != nil {
 		return err
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -77,6 +77,7 @@
 func serve(o serveOptions, stderr io.Writer) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	signal.Ignore(syscall.SIGXFSZ) // a bound on the size of files is met as an error of the write, like a full disk
 	replaced := make(chan os.Signal, 1)
 	signal.Notify(replaced, syscall.SIGHUP)
 	s := o.sources()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,7 @@
 	State      string          `json:"-" toml:"state" need:"yes" doc:"the folder that outlasts the process; it must exist"`
 	Console    string          `json:"console" toml:"door" check:"address" doc:"the operators' door; none if empty"`
 	Discovery  string          `json:"discovery" toml:"discovery" check:"address" reload:"yes" doc:"the platform's list of endpoints, where notices go as well"`
+	Source     string          `json:"source" toml:"source" doc:"the IP address that the node's own connections come from; the system's choice if empty"`
 	Seed       string          `json:"seed" toml:"seed" doc:"for random numbers, hexadecimal; drawn at each start if empty"`
 	PeerListen string          `json:"peer_listen" toml:"peer_listen" check:"address" doc:"where datagrams of other nodes come"`
 	Peers      []string        `json:"peers" toml:"peers" check:"address" doc:"all nodes by their numbers, this one too"`
@@ -81,7 +82,22 @@
 		return err
 	}
 	c.Names = c.Deployment.Names()
-	return errors.Join(c.Limits.check(), c.Registry.check(), c.Membership.check(c))
+	return errors.Join(c.checkSource(), c.Limits.check(), c.Registry.check(), c.Membership.check(c))
+}
+
+func (c *Config) checkSource() error {
+	if c.Source != "" && net.ParseIP(c.Source) == nil {
+		return fmt.Errorf("source is %q: an IP address without a port", c.Source)
+	}
+	return nil
+}
+
+// From is where the node's own connections come from; nil for the system's choice.
+func (c *Config) From() net.Addr {
+	if ip := net.ParseIP(c.Source); ip != nil {
+		return &net.TCPAddr{IP: ip}
+	}
+	return nil
 }
 
 // check tells what is too small to run with. Zero is no limit.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -126,7 +126,7 @@
 		f.partners = append(f.partners, p)
 		dest := max(0, i-1) // the two portals are one destination
 		leases.Go(func() {
-			partner.Lease(ctx, []string{f.list}, partner.Instance{
+			partner.Lease(ctx, http.DefaultClient, []string{f.list}, partner.Instance{
 				ID: cfg.ID, Addr: p.Addr(), Zone: "a", Kind: "partner", Dest: dest, Size: 1,
 			})
 		})
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -56,6 +56,7 @@
 // Pool makes calls, on connections that it keeps between them.
 type Pool struct {
 	dialTimeout, idleFor time.Duration
+	source               net.Addr // where connections come from; nil for the system's choice
 	maxIdle              int
 	places               chan struct{}   // one taken for each connection
 	tries                *atomic.Int64   // messages written whole
@@ -77,14 +78,15 @@
 	ended   func()     // gives back its place; may be called again
 }
 
-// NewPool makes a pool that holds most connections altogether: the descriptors beyond are others'.
-func NewPool(dialTimeout, connIdle time.Duration, maxIdle, most int, tries *atomic.Int64) *Pool {
+// NewPool makes a pool that holds most connections altogether: the descriptors beyond are others'. They come from source,
+// or from where the system chooses if that is nil.
+func NewPool(source net.Addr, dialTimeout, connIdle time.Duration, maxIdle, most int, tries *atomic.Int64) *Pool {
 	if dialTimeout <= 0 {
 		dialTimeout = time.Second
 	}
 	sealed, seal := context.WithCancel(context.Background())
 	return &Pool{
-		sealed: sealed, seal: seal, dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
+		sealed: sealed, seal: seal, source: source, dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
 		places: make(chan struct{}, most), tries: tries, idle: map[string][]*conn{},
 	}
 }
@@ -184,7 +186,7 @@
 
 // dial opens a connection in a place that was taken for it.
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: p.dialTimeout}
+	d := net.Dialer{Timeout: p.dialTimeout, LocalAddr: p.source}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	ended := sync.OnceFunc(func() { <-p.places })
 	if err != nil {
--- a/internal/egress/pool_test.go
+++ b/internal/egress/pool_test.go
@@ -19,7 +19,7 @@
 	return &Endpoint{ID: "e", Addr: addr, Wait: new(atomic.Int64)}
 }
 
-func testPool() *Pool { return NewPool(2*time.Second, time.Minute, 16, 64, new(atomic.Int64)) }
+func testPool() *Pool { return NewPool(nil, 2*time.Second, time.Minute, 16, 64, new(atomic.Int64)) }
 
 func testCall(e *Endpoint) Call {
 	return Call{ID: "9b1f03aa5c7e2d41", Key: "5c0f", Body: []byte("body\x00"), Endpoint: e, NotPast: time.Now().Add(testkit.Patience)}
@@ -202,7 +202,7 @@
 
 func TestIdleConnectionIsDroppedInTime(t *testing.T) {
 	p := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
-	pool, e := NewPool(time.Second, 20*time.Millisecond, 16, 64, new(atomic.Int64)), endpointAt(p.Addr())
+	pool, e := NewPool(nil, time.Second, 20*time.Millisecond, 16, 64, new(atomic.Int64)), endpointAt(p.Addr())
 	pool.Do(t.Context(), testCall(e))
 	testkit.Eventually(t, "the idle connection is dropped", func() bool {
 		pool.mu.Lock()
@@ -257,7 +257,7 @@
 // comes; it is no failure of the endpoint.
 func TestCallsLeaveDescriptorsToOthers(t *testing.T) {
 	p, q := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), testkit.NewPartner(t, testkit.Silent)
-	pool := NewPool(50*time.Millisecond, time.Minute, 16, 1, new(atomic.Int64))
+	pool := NewPool(nil, 50*time.Millisecond, time.Minute, 16, 1, new(atomic.Int64))
 	e, f := endpointAt(p.Addr()), &Endpoint{ID: "f", Addr: q.Addr(), Wait: new(atomic.Int64)}
 	if got := pool.Do(t.Context(), testCall(e)); !got.Closed {
 		t.Fatalf("got %+v", got)
--- /dev/null
+++ b/internal/lab/stage/play.go
@@ -0,0 +1,396 @@
+package stage
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"harrierramp/internal/client"
+	"harrierramp/internal/lab/model"
+	"harrierramp/internal/lab/relay"
+)
+
+const (
+	pingPause    = 40 * time.Millisecond // between tries at a node that does not take clients
+	clientsANode = 8                     // connections to one node
+	leastWait    = 50 * time.Millisecond // before a client comes again
+	noticePause  = 300 * time.Millisecond
+	settleFor    = 5 * time.Second // after the last message's time
+	maxPage      = 4 << 20
+)
+
+// Play sets a stage up, plays its script, and returns what came of it. A broken rule is no error of Play.
+func Play(ctx context.Context, s Script, o Options) (r *Report, err error) {
+	st, err := Open(ctx, s, o)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if closing := st.Close(); err == nil && closing != nil {
+			err = fmt.Errorf("stage: %w", closing)
+		}
+	}()
+	if err := st.Run(); err != nil {
+		return nil, fmt.Errorf("stage: %w", err)
+	}
+	return st.Report(), nil
+}
+
+// Report closes the ledger and holds it against the script.
+func (st *Stage) Report() *Report {
+	st.mu.Lock()
+	marks := slices.Clone(st.marks)
+	st.mu.Unlock()
+	r := st.ledger.report(marks)
+	r.hold(&st.script)
+	return r
+}
+
+// moment is something that is due.
+type moment struct {
+	at time.Duration
+	do func()
+}
+
+// Run plays the script: starts, traffic, faults; and waits until every message has its end, or is past it.
+func (st *Stage) Run() error {
+	var plan []moment
+	add := func(at time.Duration, do func()) { plan = append(plan, moment{at, do}) }
+	st.planStarts(add)
+	st.planFaults(add)
+	slices.SortStableFunc(plan, func(a, b moment) int { return cmp.Compare(a.at, b.at) })
+	st.ledger.restart()
+	for i := range st.partners {
+		st.List(i, true)
+	}
+	until := st.script.For.Duration()
+	var clients sync.WaitGroup
+	for n := range st.nodes {
+		clients.Go(func() { st.traffic(n, until) })
+	}
+	var notices sync.WaitGroup
+	polling, stop := context.WithCancel(st.ctx)
+	notices.Go(func() { st.pollNotices(polling) })
+	defer stop()
+	var doing sync.WaitGroup
+	for _, m := range plan {
+		if !st.sleepTo(m.at) {
+			break
+		}
+		doing.Go(m.do) // one that waits must not delay the next
+	}
+	st.sleepTo(until)
+	clients.Wait()
+	last := until + st.script.Traffic.Life.Duration() + settleFor
+	for st.ledger.open() > 0 && st.ledger.now() < last && st.ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+	doing.Wait()
+	stop()
+	notices.Wait()
+	st.readNotices()
+	return st.ctx.Err()
+}
+
+// sleepTo waits for a moment of the play, and tells whether the play still goes on.
+func (st *Stage) sleepTo(at time.Duration) bool {
+	t := time.NewTimer(at - st.ledger.now())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-st.ctx.Done():
+		return false
+	}
+}
+
+func (st *Stage) planStarts(add func(time.Duration, func())) {
+	for i := range st.lists {
+		p, when := relay.Party{Kind: relay.Server, N: i}, time.Duration(0)
+		if i < len(st.script.Start.Servers) {
+			when = st.script.Start.Servers[i].Duration()
+		}
+		add(when, func() {
+			if when > 0 {
+				st.ledger.excuse()
+				st.mark("start " + p.String())
+			}
+			st.failed(st.Start(p))
+		})
+	}
+	rng := rand.New(rand.NewPCG(st.script.Seed, 2))
+	for i := range st.nodes {
+		p, when := relay.Party{Kind: relay.Node, N: i}, st.script.Start.Nodes.Duration()
+		if spread := st.script.Start.Spread.Duration(); spread > 0 {
+			when += time.Duration(rng.Int64N(int64(spread)))
+		}
+		add(when, func() { st.failed(st.Start(p)) })
+	}
+}
+
+// planFaults draws who is meant, once for each time that something comes.
+func (st *Stage) planFaults(add func(time.Duration, func())) {
+	rng := rand.New(rand.NewPCG(st.script.Seed, 3))
+	for _, f := range st.script.Faults {
+		for at := f.At.Duration(); ; at += f.Every.Duration() {
+			from, _ := st.script.Group(f.From, rng) // checked by Check
+			to, _ := st.script.Group(f.To, rng)
+			add(at, func() { st.impair(f, from, to) })
+			if f.Every <= 0 || at+f.Every.Duration() >= st.script.For.Duration() {
+				break
+			}
+		}
+	}
+	for _, a := range st.script.Acts {
+		for at := a.At.Duration(); ; at += a.Every.Duration() {
+			who, _ := st.script.Group(a.Who, rng)
+			add(at, func() { st.mark(fmt.Sprintf("%s %s", a.Do, named(who))) })
+			for _, p := range who {
+				when := at
+				if a.Spread > 0 {
+					when += time.Duration(rng.Int64N(int64(a.Spread.Duration())))
+				}
+				add(when, func() { st.act(a, p) })
+			}
+			if a.Every <= 0 || at+a.Every.Duration() >= st.script.For.Duration() {
+				break
+			}
+		}
+	}
+}
+
+// named tells a group in few words.
+func named(who []relay.Party) string {
+	if len(who) > 3 {
+		return fmt.Sprintf("%s and %d more", who[0], len(who)-1)
+	}
+	var names []string
+	for _, p := range who {
+		names = append(names, p.String())
+	}
+	return strings.Join(names, ", ")
+}
+
+// impair holds a fault for its time.
+func (st *Stage) impair(f FaultAt, from, to []relay.Party) {
+	lifts := []func(){st.Impair(from, to, f.fault())}
+	if f.Both {
+		lifts = append(lifts, st.Impair(to, from, f.fault()))
+	}
+	st.mark(fmt.Sprintf("fault from %s to %s", named(from), named(to)))
+	if f.For <= 0 {
+		return
+	}
+	st.sleepTo(st.ledger.now() + f.For.Duration())
+	for _, lift := range lifts {
+		lift()
+	}
+	st.mark(fmt.Sprintf("fault from %s to %s is over", named(from), named(to)))
+}
+
+// act does something to one party, and undoes it after its time.
+func (st *Stage) act(a Act, p relay.Party) {
+	var undo func() error
+	err := error(nil)
+	switch a.Do {
+	case "pause":
+		err = st.Pause(p, true)
+		undo = func() error { return st.Pause(p, false) }
+	case "kill":
+		err = st.Kill(p)
+		undo = func() error { return st.Start(p) }
+	case "end":
+		err = st.End(p)
+		undo = func() error { return st.Start(p) }
+	case "start":
+		err = st.Start(p)
+	case "empty", "damage":
+		if err = st.Kill(p); err == nil && a.Do == "empty" {
+			err = st.Empty(p)
+		} else if err == nil {
+			err = st.Damage(p, a.File)
+		}
+		undo = func() error { return st.Start(p) }
+	case "fill":
+		err = st.Fill(p, true)
+		undo = func() error { return st.Fill(p, false) }
+	case "shut":
+		st.Shut(p.N, true)
+		undo = func() error { st.Shut(p.N, false); return nil }
+	case "withdraw", "return":
+		st.List(p.N, a.Do == "return")
+	}
+	st.failed(err)
+	if undo == nil || a.For <= 0 {
+		return
+	}
+	if st.sleepTo(st.ledger.now() + a.For.Duration()) {
+		st.failed(undo())
+	}
+}
+
+// traffic is what the clients of one node hand in.
+func (st *Stage) traffic(n int, until time.Duration) {
+	rng := rand.New(rand.NewPCG(st.script.Seed, uint64(n)+100))
+	clients := make(chan *client.Client, clientsANode)
+	for range clientsANode {
+		clients <- client.New(st.Addr(n), client.Patience)
+	}
+	var hands sync.WaitGroup
+	defer func() {
+		hands.Wait()
+		for range clientsANode {
+			(<-clients).Close()
+		}
+	}()
+	for c := <-clients; ; {
+		if st.ledger.now() > until || st.ctx.Err() != nil {
+			clients <- c
+			return
+		}
+		if c.Ping() {
+			clients <- c
+			break
+		}
+		st.sleepTo(st.ledger.now() + pingPause/2 + time.Duration(rng.Int64N(int64(pingPause))))
+	}
+	st.ledger.pong(n)
+	number := 0
+	one := func() {
+		m := &message{id: fmt.Sprintf("m%d-%d", n, number), node: n, dest: rng.IntN(len(st.script.Dests))}
+		if rng.Float64() < st.script.Traffic.Unsafe {
+			m.class = classOnce
+		}
+		number++
+		m.until = st.ledger.now() + st.script.Traffic.Life.Duration()
+		seed := rng.Uint64()
+		hands.Go(func() { st.hand(m, clients, rand.New(rand.NewPCG(seed, 0))) })
+	}
+	for range st.script.Traffic.Burst {
+		one()
+	}
+	if st.script.Traffic.Rate <= 0 {
+		return
+	}
+	for at := st.ledger.now(); ; {
+		at += time.Duration(rng.ExpFloat64() / st.script.Traffic.Rate * float64(time.Second))
+		if at > until || !st.sleepTo(at) {
+			return
+		}
+		one()
+	}
+}
+
+// hand hands one message in, and again while the node asks for that or says nothing, until its time is over.
+func (st *Stage) hand(m *message, clients chan *client.Client, rng *rand.Rand) {
+	m.next = true
+	for again := true; again; {
+		left := m.until - st.ledger.now()
+		if left <= 0 || st.ctx.Err() != nil {
+			st.ledger.answered(m, model.Nothing, true)
+			return
+		}
+		var told client.Answer
+		var wait time.Duration
+		select {
+		case c := <-clients:
+			if m.next {
+				st.ledger.hand(m)
+				m.next = false
+			}
+			told, wait, _ = c.Enqueue(client.Message{
+				ID: m.tryID, Class: classNames[m.class], Tenant: "t", Dest: m.dest, Life: left, Body: []byte("body of " + m.id),
+			})
+			clients <- c
+		case <-st.ctx.Done():
+			return
+		}
+		wait = max(wait, leastWait)
+		wait += time.Duration(rng.Int64N(int64(wait)/4 + 1))
+		switch told {
+		case client.Taken:
+			st.ledger.answered(m, model.Taken, true)
+			return
+		case client.Failed:
+			st.ledger.answered(m, model.Failed, true)
+			return
+		case client.Busy:
+			again = st.ledger.now()+wait < m.until
+			m.next = true
+			st.ledger.answered(m, model.Busy, !again)
+		case client.Unheard:
+			again = m.class == classSafe // the other kind may have been taken on
+			st.ledger.answered(m, model.Nothing, !again)
+		}
+		if again && !st.sleepTo(st.ledger.now()+wait) {
+			return
+		}
+	}
+}
+
+// pollNotices reads what nodes tell the list servers.
+func (st *Stage) pollNotices(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(noticePause):
+			st.readNotices()
+		}
+	}
+}
+
+// readNotices reads all servers once. One that is out or paused is read later.
+func (st *Stage) readNotices() {
+	for i := range st.lists {
+		if !st.lists[i].runs() {
+			continue
+		}
+		for st.readPage(i) {
+		}
+	}
+}
+
+// readPage reads one page, and tells whether there may be more.
+func (st *Stage) readPage(i int) bool {
+	ctx, cancel := context.WithTimeout(st.ctx, time.Second)
+	defer cancel()
+	addr := at(st.block.own(relay.Party{Kind: relay.Server, N: i}), listPort)
+	url := "http://" + addr + "/reports?after=" + strconv.FormatInt(st.seqs[i], 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	lines, some := bufio.NewScanner(io.LimitReader(resp.Body, maxPage)), false
+	for lines.Scan() {
+		var n struct {
+			Seq   int64  `json:"seq"`
+			AtMS  int64  `json:"at_ms"`
+			ID    string `json:"id"`
+			State string `json:"state"`
+		}
+		if json.Unmarshal(lines.Bytes(), &n) != nil {
+			return false
+		}
+		some = true
+		st.seqs[i] = n.Seq
+		st.ledger.notice(n.ID, n.State, time.UnixMilli(n.AtMS))
+	}
+	return some
+}
--- /dev/null
+++ b/internal/lab/stage/report.go
@@ -0,0 +1,308 @@
+package stage
+
+import (
+	"fmt"
+	"html/template"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"harrierramp/internal/lab/experiment"
+	"harrierramp/internal/lab/judge"
+)
+
+// Mark is something that was done to the fleet.
+type Mark struct {
+	At   time.Duration `json:"at"`
+	Text string        `json:"text"`
+}
+
+// Report is what came of a play.
+type Report struct {
+	Name    string             `json:"name"`
+	Seed    uint64             `json:"seed"`
+	Nodes   int                `json:"nodes"`
+	Figures map[string]float64 `json:"figures"` // by name; times are in seconds
+	Broken  []string           `json:"broken"`  // rules, 40 at most
+	Missed  []string           `json:"missed"`  // what the script expects and did not see
+	Late    []LateCalls        `json:"late"`
+	Marks   []Mark             `json:"marks"`
+	Bins    []Bin              `json:"bins"` // of 100 ms each
+	Result  *judge.Result      `json:"result"`
+}
+
+// LateCalls are the calls of a node at an endpoint after that was withdrawn and the grace was over.
+type LateCalls struct {
+	Endpoint string `json:"endpoint"`
+	Node     int    `json:"node"`
+	Count    int    `json:"count"`
+}
+
+// busiest is the most of a count in so many bins in a row.
+func busiest(bins []Bin, wide int, of func(Bin) int) float64 {
+	most, sum := 0, 0
+	for i, b := range bins {
+		if sum += of(b); i >= wide {
+			sum -= of(bins[i-wide])
+		}
+		most = max(most, sum)
+	}
+	return float64(most)
+}
+
+// times are quantiles of spans in seconds: the median, 99 of 100, and the last, with how many there were not.
+type times struct {
+	h     *hdrhistogram.Histogram
+	never int
+	most  time.Duration
+}
+
+func newTimes() *times {
+	return &times{h: hdrhistogram.New(1, (2 * MaxFor).Microseconds(), 3)}
+}
+
+func (t *times) add(d time.Duration) {
+	if d < 0 {
+		t.never++
+		return
+	}
+	t.most = max(t.most, d)
+	t.h.RecordValue(max(d.Microseconds(), 1)) // bounded by the play's length
+}
+
+func (t *times) put(into map[string]float64, name string) {
+	into[name+"_never"] = float64(t.never)
+	if t.h.TotalCount() == 0 {
+		return
+	}
+	into[name+"_median"] = float64(t.h.ValueAtQuantile(50)) / 1e6
+	into[name+"_p99"] = float64(t.h.ValueAtQuantile(99)) / 1e6
+	into[name+"_last"] = t.most.Seconds()
+}
+
+// report closes the ledger.
+func (l *ledger) report(marks []Mark) *Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := &Report{Name: l.script.Name, Seed: l.script.Seed, Nodes: l.script.Nodes, Figures: map[string]float64{}, Marks: marks, Bins: l.bins}
+	f := r.Figures
+	ends, delays, first99 := map[string]int{}, newTimes(), []time.Duration{}
+	repeats, tries := 0, 0
+	for _, m := range l.firsts {
+		end := m.end
+		if !m.over {
+			end = "lost"
+		}
+		ends[end]++
+		tries += m.tries
+		repeats += max(m.ran-1, 0)
+		if m.ran > 0 {
+			delays.add(m.firstRan - m.at)
+			first99 = append(first99, m.firstRan)
+		}
+	}
+	for _, end := range []string{"delivered", "returned", "refused", "failed", "failed late", "unheard", "lost"} {
+		f[slug(end)] = float64(ends[end])
+	}
+	f["handed_in"], f["hand_ins"], f["repeated"] = float64(len(l.firsts)), float64(tries), float64(repeats)
+	delays.put(f, "delivery")
+	if slices.Sort(first99); len(first99) > 0 {
+		f["first_delivery"] = first99[0].Seconds()
+		f["deliveries_99"] = first99[(len(first99)*99)/100].Seconds()
+	}
+	ready, listed, called := newTimes(), newTimes(), newTimes()
+	for _, n := range l.nodes {
+		ready.add(n.ready)
+		listed.add(n.listed)
+		called.add(n.called)
+	}
+	ready.put(f, "ready")
+	listed.put(f, "list")
+	called.put(f, "call")
+	var sum Bin
+	for _, b := range l.bins {
+		sum.Asks, sum.Served, sum.Told, sum.ListBytes = sum.Asks+b.Asks, sum.Served+b.Served, sum.Told+b.Told, sum.ListBytes+b.ListBytes
+		sum.Conns, sum.HungUp, sum.Calls, sum.Refused, sum.Ran = sum.Conns+b.Conns, sum.HungUp+b.HungUp, sum.Calls+b.Calls, sum.Refused+b.Refused, sum.Ran+b.Ran
+		sum.Datagrams, sum.Lost, sum.Busy = sum.Datagrams+b.Datagrams, sum.Lost+b.Lost, sum.Busy+b.Busy
+	}
+	for name, of := range series {
+		f[name] = float64(of(sum))
+		f[name+"_in_1s"] = busiest(l.bins, 10, of)
+		f[name+"_in_100ms"] = busiest(l.bins, 1, of)
+	}
+	f["refused_share"] = ratio(float64(sum.Refused), float64(sum.Calls))
+	fell := 0
+	for _, e := range l.endpoints {
+		fell += e.fell
+		f["cold_load"] = max(f["cold_load"], e.load)
+		f["late_calls"] += float64(e.lateCalls)
+		f["last_late_call"] = max(f["last_late_call"], e.lastLate.Seconds())
+		for _, n := range slices.Sorted(maps.Keys(e.lateBy)) {
+			r.Late = append(r.Late, LateCalls{e.id, n, e.lateBy[n]})
+		}
+	}
+	f["fell"], f["strange"], f["crashes"] = float64(fell), float64(l.strange), float64(l.crashes)
+	r.Result = l.judge.Result()
+	r.Broken = slices.Clone(l.broken)
+	for _, v := range r.Result.Violations {
+		r.Broken = append(r.Broken, fmt.Sprintf("%9.3f s  %s: node %d, %s: %s", v.At.Seconds(), v.Rule, v.Node, v.Msg, v.Text))
+	}
+	f["broken"] = float64(l.brokenN + r.Result.Broken)
+	return r
+}
+
+var series = map[string]func(Bin) int{
+	"asks": func(b Bin) int { return b.Asks }, "lists": func(b Bin) int { return b.Served }, "told": func(b Bin) int { return b.Told },
+	"conns": func(b Bin) int { return b.Conns }, "hung_up": func(b Bin) int { return b.HungUp }, "calls": func(b Bin) int { return b.Calls },
+	"calls_refused": func(b Bin) int { return b.Refused }, "ran": func(b Bin) int { return b.Ran }, "busy": func(b Bin) int { return b.Busy },
+	"list_bytes": func(b Bin) int { return b.ListBytes }, "datagrams": func(b Bin) int { return b.Datagrams }, "datagrams_lost": func(b Bin) int { return b.Lost },
+}
+
+func slug(end string) string {
+	if end == "failed late" {
+		return "failed_late"
+	}
+	return end
+}
+
+func ratio(a, b float64) float64 {
+	if b <= 0 {
+		return 0
+	}
+	return a / b
+}
+
+// hold notes what the script expects and the figures don't show.
+func (r *Report) hold(s *Script) {
+	check := func(bounds map[string]float64, most bool) {
+		for _, name := range slices.Sorted(maps.Keys(bounds)) {
+			v, known := r.Figures[name]
+			switch {
+			case !known:
+				r.Missed = append(r.Missed, fmt.Sprintf("%s is expected, and there is no such figure", name))
+			case most && v > bounds[name]:
+				r.Missed = append(r.Missed, fmt.Sprintf("%s is %v, at most %v is expected", name, round(v), bounds[name]))
+			case !most && v < bounds[name]:
+				r.Missed = append(r.Missed, fmt.Sprintf("%s is %v, at least %v is expected", name, round(v), bounds[name]))
+			}
+		}
+	}
+	check(s.Expect, true)
+	check(s.ExpectLeast, false)
+}
+
+func round(v float64) float64 { return math.Round(v*1000) / 1000 }
+
+// Failed tells whether a rule is broken or an expectation missed.
+func (r *Report) Failed() bool { return r.Figures["broken"] > 0 || len(r.Missed) > 0 }
+
+// Print writes the figures for people.
+func (r *Report) Print(w io.Writer) error {
+	fmt.Fprintf(w, "%s: %d nodes, seed %d\n", r.Name, r.Nodes, r.Seed)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	names := slices.Sorted(maps.Keys(r.Figures))
+	const columns = 4
+	rows := (len(names) + columns - 1) / columns
+	for i := range rows {
+		for k := range columns {
+			if at := k*rows + i; at < len(names) {
+				fmt.Fprintf(t, "%s\t%v\t", names[at], round(r.Figures[names[at]]))
+			}
+		}
+		fmt.Fprintln(t)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, x := range r.Late {
+		fmt.Fprintf(w, "late: node %d made %d calls at %s after it was withdrawn\n", x.Node, x.Count, x.Endpoint)
+	}
+	for _, x := range r.Broken {
+		fmt.Fprintf(w, "rule: %s\n", x)
+	}
+	for _, x := range r.Missed {
+		fmt.Fprintf(w, "missed: %s\n", x)
+	}
+	return nil
+}
+
+var page = template.Must(template.New("stage").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Report.Name}}</title><style>
+body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:1100px;padding:0 1em;color:#222}
+table{border-collapse:collapse;margin:1em 0;columns:3}td{padding:.15em .8em;text-align:right;border-bottom:1px solid #ddd}
+td:first-child{text-align:left}figure{margin:1em 0}figcaption{font-weight:600}.bad{color:#b00}</style></head><body>
+<h1>{{.Report.Name}}</h1><p>{{.Report.Nodes}} nodes, seed {{.Report.Seed}}. Each bar of grey is something done to the fleet.</p>
+{{range .Report.Broken}}<p class="bad">Rule broken: {{.}}</p>{{end}}{{range .Report.Missed}}<p class="bad">{{.}}</p>{{end}}
+{{range .Figures}}<figure><figcaption>{{.Title}}</figcaption>{{.SVG}}</figure>{{end}}
+<h2>What was done</h2><table>{{range .Report.Marks}}<tr><td>{{printf "%.1f s" .At.Seconds}}</td><td>{{.Text}}</td></tr>{{end}}</table>
+<h2>Figures</h2><table>{{range $k, $v := .Report.Figures}}<tr><td>{{$k}}</td><td>{{printf "%.3f" $v}}</td></tr>{{end}}</table>
+</body></html>
+`))
+
+// HTML writes one self-contained page: what happened over time with the faults marked, and the figures.
+func (r *Report) HTML(w io.Writer) error {
+	type figure struct {
+		Title string
+		SVG   template.HTML
+	}
+	data := struct {
+		Report  *Report
+		Figures []figure
+	}{Report: r}
+	for _, one := range []struct {
+		title string
+		lines []string
+	}{
+		{"The list: asks, lists told, asks told to come later, in 100 ms", []string{"asks", "lists", "told"}},
+		{"Endpoints: connections, calls, calls refused, in 100 ms", []string{"conns", "calls", "calls_refused", "hung_up"}},
+		{"Messages: run, answered with -BUSY, in 100 ms", []string{"ran", "busy"}},
+		{"Datagrams between nodes, and those lost, in 100 ms", []string{"datagrams", "datagrams_lost"}},
+	} {
+		svg, err := r.overTime(one.lines)
+		if err != nil {
+			return fmt.Errorf("stage: %w", err)
+		}
+		data.Figures = append(data.Figures, figure{one.title, svg})
+	}
+	return page.Execute(w, data)
+}
+
+func (r *Report) overTime(names []string) (template.HTML, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Min = "seconds", 0
+	p.Legend.Top = true
+	top := 1.0
+	for i, name := range names {
+		points := make(plotter.XYs, len(r.Bins))
+		for k, b := range r.Bins {
+			points[k] = plotter.XY{X: float64(k) * binSize.Seconds(), Y: float64(series[name](b))}
+			top = max(top, points[k].Y)
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return "", err
+		}
+		line.Color, line.Width, line.StepStyle = plotutil.Color(i), vg.Points(1.2), plotter.PreStep
+		p.Add(line)
+		p.Legend.Add(name, line)
+	}
+	for _, m := range r.Marks {
+		line, err := plotter.NewLine(plotter.XYs{{X: m.At.Seconds(), Y: 0}, {X: m.At.Seconds(), Y: top}})
+		if err != nil {
+			return "", err
+		}
+		line.Dashes, line.Width, line.Color = plotutil.Dashes(2), vg.Points(0.6), plotutil.Color(6)
+		p.Add(line)
+	}
+	return experiment.SVG(p, 26*vg.Centimeter, 8*vg.Centimeter)
+}
--- /dev/null
+++ b/internal/lab/stage/settings.go
@@ -0,0 +1,122 @@
+package stage
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"harrierramp/internal/lab/model"
+	"harrierramp/internal/lab/relay"
+	"harrierramp/internal/wire"
+)
+
+// The classes of messages on a stage.
+const (
+	classSafe = iota
+	classOnce
+)
+
+var classNames = []string{"notice", "once"}
+
+const connIdle = 15 * time.Second // of partners
+
+// settings are the facts of the deployment, in the platform's words.
+func (s *Script) settings(number int) map[string]any {
+	life := float64(s.Traffic.Life)
+	class := func(name, effect string) map[string]any {
+		return map[string]any{"name": name, "aim": life / 4, "deadline": life, "worth": 1, "lateWorth": 0.3, "effect": effect}
+	}
+	return map[string]any{
+		"fleetSize": s.Nodes, "myNumber": number, "flavors": []string{"partner"}, "failureDomains": []string{"a"},
+		"categories": []any{class(classNames[classSafe], "idempotent"), class(classNames[classOnce], "at_most_once")},
+		"customers":  []any{map[string]any{"name": "t", "allowancePerS": 1e6}},
+		"discovery":  "pushed", "overShareWorth": 0.2, "tick": 5,
+		"domain": map[string]any{"decay": "line", "workers": s.Node.Slots, "separateRoutes": []bool{false}, "kindBatch": []int{1}},
+		"limits": map[string]any{
+			"dialTimeout": 1000, "connIdle": connIdle.Milliseconds(), "maxAttempts": 12, "maxOpen": 2000, "maxRetryAfter": 3000,
+			"retryAfter": true, "cancel": true, "mayTell": s.Node.Notes,
+		},
+		"contract": map[string]any{
+			"graceToAnswer": 20, "coldFrom": 0.2, "warmWithin": 10_000, "stopSendingWithin": 1000, "fallMultiple": 2.5, "fall": 3000,
+		},
+	}
+}
+
+// nodeConfig is a node's configuration in the platform's form: it knows the others by their faces only.
+func (st *Stage) nodeConfig(n int) ([]byte, error) {
+	self := relay.Party{Kind: relay.Node, N: n}
+	var peers, servers []string
+	for i := range st.script.Nodes {
+		peers = append(peers, at(st.block.face(relay.Party{Kind: relay.Node, N: i}), notePort))
+	}
+	for i := range st.script.Servers {
+		servers = append(servers, at(st.block.face(relay.Party{Kind: relay.Server, N: i}), listPort))
+	}
+	c := map[string]any{
+		"name": self.String(), "listen": at(st.block.own(self), clientPort), "source": st.block.own(self).String(),
+		"discovery": servers[0], "seed": fmt.Sprintf("%x", st.script.Seed<<16+uint64(n)+1),
+		"limits":   map[string]any{"cores": 1, "memory_mb": 128, "sockets": 1024, "disk_mb": 3},
+		"registry": map[string]any{"addresses": servers, "keep": st.script.Node.Keep},
+		"settings": st.script.settings(n),
+	}
+	if st.script.Node.Notes {
+		c["peer_listen"], c["peers"] = at(st.block.own(self), notePort), peers
+	}
+	if st.script.Node.Door {
+		c["console"] = at(st.block.own(self), doorPort)
+	}
+	if st.script.Node.Membership {
+		c["membership"] = map[string]any{}
+	}
+	return json.Marshal(c)
+}
+
+// day is the script as the judge knows days.
+func (s *Script) day() (model.Day, error) {
+	raw, err := json.Marshal(s.settings(0))
+	if err != nil {
+		return model.Day{}, err
+	}
+	d := model.Day{Name: s.Name, Seed: s.Seed, Length: s.For.Duration(), Nodes: make([]model.NodeSpec, s.Nodes), Zones: 1}
+	if d.Settings, err = wire.Settings(raw); err != nil {
+		return d, err
+	}
+	// Whether two copies are out is the ledger's to judge: it sees calls where they come, not where they are made.
+	d.Settings.MayDuplicate = true
+	for i, spec := range s.Dests {
+		dest := model.DestSpec{Limit: spec.Rate}
+		for k := range spec.Endpoints {
+			dest.Endpoints = append(dest.Endpoints, model.EndpointSpec{ID: endpointID(i, k)})
+		}
+		d.Dests = append(d.Dests, dest)
+	}
+	return d, nil
+}
+
+func endpointID(dest, n int) string { return fmt.Sprintf("p%d-%d", dest, n) }
+
+// serverArgs is the command line of a list server, which reaches the others by their faces.
+func (st *Stage) serverArgs(n int) []string {
+	self := relay.Party{Kind: relay.Server, N: n}
+	args := []string{
+		"registry", "--listen", at(st.block.own(self), listPort), "--console", at(st.block.own(self), opsPort),
+		"--state", filepath.Join(st.dir, self.String()), "--source", st.block.own(self).String(), "--number", fmt.Sprint(n),
+	}
+	if n == 0 {
+		args = append(args, "--bootstrap")
+	}
+	if st.script.Servers > 1 {
+		all := ""
+		for i := range st.script.Servers {
+			p := relay.Party{Kind: relay.Server, N: i}
+			addr := at(st.block.face(p), listPort)
+			if i > 0 {
+				all += ","
+			}
+			all += addr
+		}
+		args = append(args, "--servers", all)
+	}
+	return append(args, st.o.ServerArgs...)
+}
--- /dev/null
+++ b/internal/lab/stage/stage.go
@@ -0,0 +1,372 @@
+// Package stage plays what many processes do together when some break, stall or lose contact: real list servers and
+// real nodes on loopback, stand-in partners, clients, and a relay on every way between them, with faults by a script or
+// by a test.
+//
+// The stage judges from outside, by what clients, partners and relays have seen. It talks to 127.0.0.0/8 only, is
+// bounded in processes and time, and ends what it has started and nothing else, also when it is killed itself.
+package stage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"harrierramp/internal/lab/relay"
+	"harrierramp/internal/partner"
+)
+
+// Options are what a stage needs beside its script.
+type Options struct {
+	Program    string    // harrierramp
+	Env        []string  // of its processes, beside this one's
+	Dir        string    // where folders and logs stand, and stay; empty for a folder that goes with the stage
+	Out        io.Writer // told what is done; nil for nobody
+	ServerArgs []string  // more arguments of list servers
+	NodeArgs   []string  // and of nodes
+}
+
+// Stage is a fleet that is set up. One goroutine opens and closes it; the rest may be called from many.
+type Stage struct {
+	script Script
+	o      Options
+	dir    string
+	block  *block
+	net    *relay.Net
+	starts *starter
+	ledger *ledger
+	nodes  []*process
+	lists  []*process
+	wg     sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	partners []*listedPartner
+	marks    []Mark
+	errs     []error
+	rng      *rand.Rand
+	seqs     []int64 // of the notices read at each list server
+}
+
+// listedPartner is a partner with its lease at the list service.
+type listedPartner struct {
+	p        *partner.Partner
+	instance partner.Instance
+	client   *http.Client
+	leave    context.CancelFunc // nil while it is not in the list
+	left     chan struct{}      // closed when it has left
+}
+
+// Open sets a stage up: all addresses are held and all faces open, and nothing is started yet but partners.
+func Open(ctx context.Context, s Script, o Options) (st *Stage, err error) {
+	if err := s.Check(); err != nil {
+		return nil, fmt.Errorf("stage: %w", err)
+	}
+	day, err := s.day()
+	if err != nil {
+		return nil, fmt.Errorf("stage: %w", err)
+	}
+	st = &Stage{script: s, o: o, dir: o.Dir, rng: rand.New(rand.NewPCG(s.Seed, 1)), seqs: make([]int64, s.Servers)}
+	if st.dir == "" {
+		st.dir, err = os.MkdirTemp("", "harrierlab-stage-")
+	} else {
+		err = os.MkdirAll(st.dir, 0o700)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("stage: %w", err)
+	}
+	if st.block, err = holdBlock(); err != nil {
+		return nil, errors.Join(err, st.tidy())
+	}
+	st.ctx, st.cancel = context.WithCancel(ctx)
+	st.ledger = newLedger(&st.script, day, time.Now())
+	st.net = relay.New(s.Seed, st.block.who, st.ledger.passed)
+	st.starts = newStarter()
+	if err := st.build(); err != nil {
+		return nil, errors.Join(fmt.Errorf("stage: %w", err), st.Close())
+	}
+	return st, nil
+}
+
+// build opens the faces, and prepares the processes.
+func (st *Stage) build() error {
+	var parties []relay.Party
+	var faces, owns []string
+	for i := range st.script.Nodes {
+		p := relay.Party{Kind: relay.Node, N: i}
+		parties = append(parties, p)
+		faces, owns = append(faces, at(st.block.face(p), notePort)), append(owns, at(st.block.own(p), notePort))
+		raw, err := st.nodeConfig(i)
+		if err != nil {
+			return err
+		}
+		file := filepath.Join(st.dir, p.String()+".json")
+		if err := os.WriteFile(file, raw, 0o600); err != nil {
+			return err
+		}
+		x, err := st.process(p, append([]string{"serve", "--config", file, "--state", filepath.Join(st.dir, p.String())}, st.o.NodeArgs...))
+		if err != nil {
+			return err
+		}
+		st.nodes = append(st.nodes, x)
+	}
+	if st.script.Node.Notes {
+		if err := st.net.UDP(parties, faces, owns); err != nil {
+			return err
+		}
+	}
+	for i := range st.script.Servers {
+		p := relay.Party{Kind: relay.Server, N: i}
+		if err := st.net.TCP(at(st.block.face(p), listPort), p, at(st.block.own(p), listPort)); err != nil {
+			return err
+		}
+		x, err := st.process(p, st.serverArgs(i))
+		if err != nil {
+			return err
+		}
+		st.lists = append(st.lists, x)
+	}
+	shared := partner.NewLedger()
+	for d, spec := range st.script.Dests {
+		for k := range spec.Endpoints {
+			if err := st.openPartner(d, k, spec, shared); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (st *Stage) process(p relay.Party, args []string) (*process, error) {
+	state := filepath.Join(st.dir, p.String())
+	if err := os.MkdirAll(state, 0o700); err != nil {
+		return nil, err
+	}
+	return &process{
+		name: p.String(), starter: st.starts, program: st.o.Program, args: args, env: st.o.Env, state: state, log: state + ".log",
+		crashed: st.ledger.crash,
+	}, nil
+}
+
+// openPartner starts a partner on its own address, and opens its face.
+func (st *Stage) openPartner(dest, n int, spec Dest, shared *partner.Ledger) error {
+	p := relay.Party{Kind: relay.Partner, N: len(st.partners)}
+	own := at(st.block.own(p), callPort)
+	cfg := partner.Config{
+		ID: endpointID(dest, n), Rate: spec.Rate, Burst: spec.Burst, Latency: spec.Latency.Duration(), Listen: own, Conns: spec.Connections,
+	}
+	cfg.Seen = func(s partner.Seen) { st.ledger.partner(st.nodeOf(s.From), s) }
+	if spec.Cold {
+		c := st.ledger.day.Settings
+		cfg.Cold = partner.Cold{From: c.ColdFrom, Multiple: c.FallMultiple, Within: c.WarmWithin, Fall: c.Fall, DownFor: 2 * time.Second}
+	}
+	one, err := partner.Start(cfg, shared)
+	if err != nil {
+		return err
+	}
+	source := &net.TCPAddr{IP: net.IP(st.block.own(p).AsSlice())}
+	face := at(st.block.face(p), callPort)
+	st.partners = append(st.partners, &listedPartner{
+		p: one, instance: partner.Instance{ID: cfg.ID, Addr: face, Zone: "a", Kind: "partner", Dest: dest, Size: 1},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{LocalAddr: source}).DialContext}},
+	})
+	return st.net.TCP(face, p, own)
+}
+
+// nodeOf is the number of the node that an address is of, -1 for none.
+func (st *Stage) nodeOf(hostPort string) int {
+	if a, err := net.ResolveTCPAddr("tcp4", hostPort); err == nil {
+		if p, ok := st.block.who(a.AddrPort().Addr().Unmap()); ok && p.Kind == relay.Node {
+			return p.N
+		}
+	}
+	return -1
+}
+
+// List puts a partner into the list, or takes it out. It returns at once.
+func (st *Stage) List(n int, listed bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	x := st.partners[n]
+	if listed == (x.leave != nil) {
+		return
+	}
+	if !listed {
+		x.leave()
+		x.leave = nil
+		return
+	}
+	var servers []string
+	for i := range st.script.Servers {
+		servers = append(servers, at(st.block.face(relay.Party{Kind: relay.Server, N: i}), listPort))
+	}
+	ctx, leave := context.WithCancel(st.ctx)
+	before, left := x.left, make(chan struct{})
+	x.leave, x.left = leave, left
+	st.wg.Go(func() {
+		defer close(left)
+		if before != nil {
+			<-before
+		}
+		st.ledger.withdrew(x.instance.ID, false)
+		partner.Lease(ctx, x.client, servers, x.instance)
+		st.ledger.withdrew(x.instance.ID, true)
+		x.client.CloseIdleConnections()
+	})
+}
+
+// of is the process of a party; nil for partners, which are none.
+func (st *Stage) of(p relay.Party) *process {
+	switch p.Kind {
+	case relay.Node:
+		return st.nodes[p.N]
+	case relay.Server:
+		return st.lists[p.N]
+	}
+	return nil
+}
+
+// Impair puts a fault on the ways between two groups until the function that it returns is called.
+func (st *Stage) Impair(from, to []relay.Party, f relay.Fault) (lift func()) {
+	touches := func(all []relay.Party) bool {
+		return slices.ContainsFunc(all, func(p relay.Party) bool { return p.Kind == relay.Server })
+	}
+	if touches(from) || touches(to) {
+		st.ledger.excuse()
+	}
+	r := st.net.Impair(set(from), set(to), f)
+	return func() { st.net.Lift(r) }
+}
+
+func set(all []relay.Party) relay.Set {
+	out := relay.Set{}
+	for _, p := range all {
+		out[p] = true
+	}
+	return out
+}
+
+// Start starts a process, if it does not run.
+func (st *Stage) Start(p relay.Party) error {
+	x := st.of(p)
+	if p.Kind == relay.Node && !x.runs() {
+		st.ledger.started(p.N)
+	}
+	return x.start()
+}
+
+// Kill ends a process at once.
+func (st *Stage) Kill(p relay.Party) error {
+	err := st.of(p).kill()
+	st.over(p)
+	return err
+}
+
+// End tells a process to end, and waits until it has.
+func (st *Stage) End(p relay.Party) error {
+	err := st.of(p).end()
+	st.over(p)
+	return err
+}
+
+func (st *Stage) over(p relay.Party) {
+	if p.Kind == relay.Node {
+		st.ledger.died(p.N)
+	} else {
+		st.ledger.excuse()
+	}
+}
+
+// Pause stops a process where it is, or lets it go on.
+func (st *Stage) Pause(p relay.Party, on bool) error {
+	s := syscall.SIGCONT
+	if on {
+		s = syscall.SIGSTOP
+	}
+	if on && p.Kind == relay.Server {
+		st.ledger.excuse()
+	}
+	_, err := st.of(p).signal(s)
+	return err
+}
+
+// Fill makes the disk of a process full, or gives it room again.
+func (st *Stage) Fill(p relay.Party, full bool) error { return st.of(p).fill(full) }
+
+// Empty takes away what a process that does not run has kept.
+func (st *Stage) Empty(p relay.Party) error { return st.of(p).empty() }
+
+// Damage spoils a file of a process that does not run, by chance from the script's seed.
+func (st *Stage) Damage(p relay.Party, file string) error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.of(p).damage(file, st.rng)
+}
+
+// Shut makes a partner refuse every call, or take them again, cold.
+func (st *Stage) Shut(n int, shut bool) { st.partners[n].p.Shut(shut) }
+
+// Addr is where clients reach a node, and Door where operators do.
+func (st *Stage) Addr(n int) string {
+	return at(st.block.own(relay.Party{Kind: relay.Node, N: n}), clientPort)
+}
+
+// Door is the operators' door of a node, where the script gives it one.
+func (st *Stage) Door(n int) string {
+	return at(st.block.own(relay.Party{Kind: relay.Node, N: n}), doorPort)
+}
+
+// mark notes something that is done.
+func (st *Stage) mark(text string) {
+	m := Mark{st.ledger.now(), text}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.marks = append(st.marks, m)
+	if st.o.Out != nil {
+		fmt.Fprintf(st.o.Out, "%8.3f s  %s\n", m.At.Seconds(), text)
+	}
+}
+
+func (st *Stage) failed(err error) {
+	if err == nil {
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.errs = append(st.errs, err)
+}
+
+// Close ends everything that was started, and returns what went wrong with it.
+func (st *Stage) Close() error {
+	st.cancel()
+	st.wg.Wait()
+	var ends sync.WaitGroup
+	for _, p := range slices.Concat(st.nodes, st.lists) {
+		ends.Go(func() { st.failed(p.kill()) })
+	}
+	ends.Wait()
+	st.net.Close()
+	for _, x := range st.partners {
+		x.p.Close()
+		x.client.CloseIdleConnections()
+	}
+	st.starts.close()
+	return errors.Join(errors.Join(st.errs...), st.block.free(), st.tidy())
+}
+
+func (st *Stage) tidy() error {
+	if st.o.Dir != "" {
+		return nil
+	}
+	return os.RemoveAll(st.dir)
+}
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 )
@@ -19,6 +20,16 @@
 	Silence = 10 * time.Second
 )
 
+// NewClient makes the client for watches, whose connections come from source, or from where the system chooses if that is
+// nil.
+func NewClient(source net.Addr) *http.Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
+	if source != nil {
+		t.DialContext = (&net.Dialer{LocalAddr: source}).DialContext
+	}
+	return &http.Client{Transport: t}
+}
+
 // StatusError is an answer that is no watch.
 type StatusError struct {
 	Code int
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,7 @@
 	n := &Node{
 		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
 		figures:   metrics.New(cfg.Names.Classes),
-		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+		client:    listwatch.NewClient(cfg.From()),
 		discovery: listwatch.NewAddresses(cfg.DiscoveryAt()),
 		events:    make(chan any, eventQueue), notices: make(chan []outbox.Notice), asks: make(chan *handover.Link),
 		messages: map[string]*journal.Message{}, out: map[attempt]outCall{}, eps: map[string]*egress.Endpoint{},
@@ -134,7 +134,7 @@
 
 func (n *Node) newPool() *egress.Pool {
 	s, most := n.cfg.Settings, n.cfg.Limits.Sockets
-	return egress.NewPool(s.DialTimeout, s.ConnIdle, max(most/4, 8), callPlaces(most), &n.figures.Tries)
+	return egress.NewPool(n.cfg.From(), s.DialTimeout, s.ConnIdle, max(most/4, 8), callPlaces(most), &n.figures.Tries)
 }
 
 // callPlaces is how many descriptors calls may take: clients have a third, and the rest is set aside for the door,
--- a/internal/partner/lease.go
+++ b/internal/partner/lease.go
@@ -25,15 +25,15 @@
 
 // Lease keeps an instance registered at the list service until ctx ends, and then withdraws it. It asks the next
 // server when one is out or is not the primary.
-func Lease(ctx context.Context, servers []string, i Instance) {
+func Lease(ctx context.Context, client *http.Client, servers []string, i Instance) {
 	owner := fmt.Sprintf("%s.%d", i.ID, time.Now().UnixNano())
 	claim := fmt.Sprintf(`{"host_port":%q,"locality":%q,"flavor":%q,"cell":%d,"size":%g,"owner":%q,"lease_ms":%d}`,
 		i.Addr, i.Zone, i.Kind, i.Dest, i.Size, owner, leaseTime.Milliseconds())
 	for at := 0; ctx.Err() == nil; {
 		url := "http://" + servers[at] + "/registry/instances/" + i.ID
-		code := tell(ctx, http.MethodPost, url+"/renew", fmt.Sprintf(`{"owner":%q}`, owner))
+		code := tell(ctx, client, http.MethodPost, url+"/renew", fmt.Sprintf(`{"owner":%q}`, owner))
 		if code == http.StatusNotFound {
-			code = tell(ctx, http.MethodPut, url, claim)
+			code = tell(ctx, client, http.MethodPut, url, claim)
 		}
 		pause := leaseTime/4 + rand.N(leaseTime/8)
 		if code != http.StatusOK {
@@ -47,21 +47,21 @@
 	bye, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaseCall)
 	defer cancel()
 	for _, s := range servers {
-		if tell(bye, http.MethodDelete, "http://"+s+"/registry/instances/"+i.ID, fmt.Sprintf(`{"owner":%q}`, owner)) == http.StatusNoContent {
+		if tell(bye, client, http.MethodDelete, "http://"+s+"/registry/instances/"+i.ID, fmt.Sprintf(`{"owner":%q}`, owner)) == http.StatusNoContent {
 			return
 		}
 	}
 }
 
 // tell makes one call and returns its status, 0 if there was no answer.
-func tell(ctx context.Context, method, url, body string) int {
+func tell(ctx context.Context, client *http.Client, method, url, body string) int {
 	ctx, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0
 	}
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"harrierramp/internal/listwatch"
 )
 
 const (
@@ -31,7 +34,8 @@
 	Options     Options
 	Coalesce    time.Duration // changes so close together are told at once
 	MaxWatchers int
-	MaxReports  int64 // bytes of notices that are kept
+	MaxReports  int64    // bytes of notices that are kept
+	Source      net.Addr // where connections to other servers come from; nil for the system's choice
 }
 
 // Errors of orders.
@@ -113,7 +117,7 @@
 	s := &Server{
 		cfg: cfg, log: log, store: store, cat: NewCatalog(cfg.Options), feed: newFeed(cfg.Coalesce), reports: reps,
 		peers: newPeers(cfg), start: time.Now(), orders: make(chan order, maxOrders), stopped: make(chan struct{}),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+		client: listwatch.NewClient(cfg.Source),
 	}
 	for _, l := range lists {
 		s.cat.Apply(0, l)
