Have a fleet's start take turns at the list service, and take no message without a list

Cause: a node said PONG before it knew an endpoint and failed what it was handed; all asked the list service at once and after an outage by pauses that had doubled to seconds; a kept list was believed whatever its age.

internal/turns holds both sides: a gate at the server (renewals, then watchers that lack changes, then whole lists; the others are told when to come, each a turn of its own) and a turn at each node, whose place follows from its number. internal/coldstart says what a start waits for: until then PING is answered -LOADING, readiness no with the reason, and messages -BUSY. A kept list has a checksum and a time, may wait for a server's (kept_after) and may be too old (kept_most); one ahead of every server is given up. Off without the section registry.

--- a/internal/admin/door.go
+++ b/internal/admin/door.go
@@ -34,7 +34,7 @@
 
 // Operators is what the door needs of the node.
 type Operators interface {
-	Ready() bool
+	NotReady() string // why not; empty if it is ready
 	Stats() []byte
 	WriteMetrics(w io.Writer) error
 	SetLogLevel(name string) error
@@ -83,8 +83,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ops/readiness", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.Ready() {
-			http.Error(w, ErrNotServing.Error(), http.StatusServiceUnavailable)
+		if why := n.NotReady(); why != "" {
+			http.Error(w, why, http.StatusServiceUnavailable)
 			return
 		}
 		w.WriteHeader(http.StatusNoContent)
--- a/internal/cli/registry.go
+++ b/internal/cli/registry.go
@@ -15,6 +15,7 @@
 
 	"harrierramp/internal/logging"
 	"harrierramp/internal/registry"
+	"harrierramp/internal/turns"
 
 	"github.com/spf13/cobra"
 )
@@ -58,6 +59,8 @@
 	f.Int64Var((*int64)(&o.server.After), "after-epoch", 0, "with --bootstrap: begin after this epoch, which nodes have heard of")
 	f.DurationVar(&o.server.Coalesce, "coalesce", 20*time.Millisecond, "changes so close together are told at once")
 	f.IntVar(&o.server.MaxWatchers, "watchers", 4096, "watches at most")
+	f.Float64Var(&o.server.StartRate, "start-rate", turns.DefaultRate,
+		"whole lists a second for nodes that begin; the others are told when to come (0: no bound)")
 	f.Int64Var(&o.places, "connections", 8192, "connections at most")
 	f.Int64Var(&o.server.MaxReports, "report-bytes", 16<<20, "bytes of notices that are kept")
 	f.IntVar(&o.server.Options.MaxInstances, "instances", o.server.Options.MaxInstances, "instances at most")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -57,6 +57,9 @@
 type ListService struct {
 	Addresses []string `json:"addresses" toml:"addresses" check:"address" reload:"yes" doc:"of all its servers, in any order"`
 	Keep      bool     `json:"keep" toml:"keep" doc:"keep the last good list in the lasting folder"`
+	// What a start does with a kept list.
+	KeptAfter units.Millis `json:"kept_after_ms" toml:"kept_after" min:"0s" max:"1h" doc:"a start waits so long for a server's list before it serves on the kept one"`
+	KeptMost  units.Millis `json:"kept_most_ms" toml:"kept_most" min:"0s" max:"8760h" doc:"a kept list that is older is not served on; 0s for any age"`
 }
 
 // Membership is the section by which nodes tell each other who is there.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -221,6 +221,7 @@
 	served chan struct{} // closed when nothing more is accepted
 	names  wire.Names
 	hand   func(Request) Answer
+	await  func() string // what keeps the node from taking messages; nil for never anything
 
 	mu     sync.Mutex
 	open   map[net.Conn]*peer
@@ -249,6 +250,9 @@
 	}
 }
 
+// Await has PING say no while why says what the node waits for. It is called before Serve.
+func (c *Server) Await(why func() string) { c.await = why }
+
 // Serve accepts connections until the listener is closed, but while it is paused.
 func (c *Server) Serve(ctx context.Context) {
 	defer close(c.served)
@@ -584,6 +588,11 @@
 		if c.drained() {
 			return "-DRAINING this node takes no new clients\r\n"
 		}
+		if c.await != nil {
+			if why := c.await(); why != "" {
+				return "-LOADING " + why + "\r\n"
+			}
+		}
 		return "+PONG\r\n"
 	case "ENQUEUE":
 		q, err := parseEnqueue(args, c.names, came)
--- a/internal/lab/stage/process.go
+++ b/internal/lab/stage/process.go
@@ -216,3 +216,18 @@
 	}
 	return os.WriteFile(path, raw, 0o600)
 }
+
+const wantedFiles = 1 << 17 // each connection on the stage takes up to four descriptors here
+
+// roomForFiles asks for as many descriptors as the system gives this process.
+func roomForFiles() {
+	var l unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &l) != nil || l.Cur >= wantedFiles {
+		return
+	}
+	more := unix.Rlimit{Cur: wantedFiles, Max: max(l.Max, wantedFiles)}
+	if unix.Setrlimit(unix.RLIMIT_NOFILE, &more) != nil { // only root may have more than it was given
+		l.Cur = l.Max
+		unix.Setrlimit(unix.RLIMIT_NOFILE, &l) // no more can be had then
+	}
+}
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -91,6 +91,7 @@
 	st.ctx, st.cancel = context.WithCancel(ctx)
 	st.ledger = newLedger(&st.script, day, time.Now())
 	st.net = relay.New(s.Seed, st.block.who, st.ledger.passed)
+	roomForFiles()
 	st.starts = newStarter()
 	if err := st.build(); err != nil {
 		return nil, errors.Join(fmt.Errorf("stage: %w", err), st.Close())
--- a/internal/listwatch/doubt.go
+++ b/internal/listwatch/doubt.go
@@ -20,6 +20,8 @@
 	doubtLeast = 3
 	doubtPause = 50 * time.Millisecond // between asks while it is
 	MostDoubt  = time.Second           // the most that a list may be held
+	// What a file says is held against servers that tell less for so long, while others have yet to be heard.
+	unconfirmedLast = 30 * time.Second
 )
 
 // errOlderList refuses a server that is behind what the node knows.
@@ -41,8 +43,14 @@
 	Hold    time.Duration
 	Head    int64
 	members map[string]bool // by id
-	Older   *atomic.Int64   // lists refused
-	Doubted *atomic.Int64   // lists held
+	// Unconfirmed says that what is known comes from a file, and no server has said so yet. It may be another fleet's, or
+	// of a service that has lost its folder since. So once every server has told an earlier list, or one has and
+	// unconfirmedLast has passed, the servers are believed.
+	Unconfirmed bool
+	behind      map[string]bool // addresses that have told an earlier list meanwhile
+	since       time.Time       // the first of them
+	Older       *atomic.Int64   // lists refused
+	Doubted     *atomic.Int64   // lists held
 }
 
 // NewDoubt begins with what is known.
@@ -54,12 +62,13 @@
 	return &d
 }
 
-// Check is what watch does with each list.
-func (d *Doubt) Check(ctx context.Context, l List) (List, error) {
-	if l.Revision < d.Head {
+// Check is what watch does with each list of the server at addr.
+func (d *Doubt) Check(ctx context.Context, addr string, l List) (List, error) {
+	if l.Revision < d.Head && !d.ahead(addr, l) {
 		d.Older.Add(1)
 		return l, fmt.Errorf("%w: revision %d after %d", errOlderList, l.Revision, d.Head)
 	}
+	d.Unconfirmed = false
 	if lost := d.lost(l); doubtful(lost, len(d.members)) {
 		d.Doubted.Add(1)
 		d.Log.Warn("list_doubted", "revision", l.Revision, "lost", lost, "known", len(d.members))
@@ -70,6 +79,24 @@
 	return l, nil
 }
 
+// ahead tells whether what is known is not to be held against a server that tells less.
+func (d *Doubt) ahead(addr string, l List) bool {
+	if !d.Unconfirmed || !l.Complete {
+		return false
+	}
+	if d.behind == nil {
+		d.behind, d.since = map[string]bool{}, time.Now()
+	}
+	d.behind[addr] = true
+	for _, a := range d.At.all() {
+		if !d.behind[a] && time.Since(d.since) < unconfirmedLast {
+			return false
+		}
+	}
+	d.Log.Warn("kept_list_ahead", "kept", d.Head, "told", l.Revision)
+	return true
+}
+
 // doubtful tells whether losing so many of those known is worth a second look.
 func doubtful(lost, known int) bool { return lost >= doubtLeast && 2*lost > known }
 
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -9,8 +9,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -30,10 +32,45 @@
 	return &http.Client{Transport: t}
 }
 
+// The headers by which a server says when to come: Retry-After in whole seconds, as everybody reads it, and the same to
+// the millisecond. A turn is said again with the ask that keeps it.
+const (
+	waitHeader = "Retry-After-Ms"
+	turnHeader = "Registry-Turn"
+)
+
+// TellWait writes that an ask is to be made again after a wait, which keeps a turn if that is not 0.
+func TellWait(h http.Header, wait time.Duration, turn uint64) {
+	ms := max((wait + time.Millisecond - 1).Milliseconds(), 1)
+	h.Set("Retry-After", strconv.FormatInt((ms+999)/1000, 10))
+	h.Set(waitHeader, strconv.FormatInt(ms, 10))
+	if turn != 0 {
+		h.Set(turnHeader, strconv.FormatUint(turn, 10))
+	}
+}
+
 // StatusError is an answer that is no watch.
 type StatusError struct {
 	Code int
 	Text string // the beginning of what the server says about it
+	// Said is whether the server has said when to come, Wait what it said, which may be absurd: -1 where it can't be
+	// read. Turn is what to say then, 0 for nothing.
+	Said bool
+	Wait time.Duration
+	Turn uint64
+}
+
+// told reads when to come.
+func (e *StatusError) told(h http.Header) {
+	text := h.Get(waitHeader)
+	if e.Said = text != ""; !e.Said {
+		return
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if e.Wait = time.Duration(ms) * time.Millisecond; err != nil || ms > int64(time.Duration(math.MaxInt64)/time.Millisecond) {
+		e.Wait = -1
+	}
+	e.Turn, _ = strconv.ParseUint(h.Get(turnHeader), 10, 64) // without one it is an ask like any other
 }
 
 func (e *StatusError) Error() string {
@@ -41,11 +78,14 @@
 }
 
 // Lines follows one watch to its end, which is always an error, and hands on each line that is not empty. heard is
-// called for empty lines as well; it may be nil. A watch that has gone silent is given up: its machine may be gone.
-func Lines(ctx context.Context, client *http.Client, url string, heard func(), line func([]byte) error) error {
+// called for empty lines as well; it may be nil. A watch that has gone silent is given up: its machine may be gone. For
+// the first line it has patience.
+func Lines(
+	ctx context.Context, client *http.Client, url string, patience time.Duration, heard func(), line func([]byte) error,
+) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(Silence, cancel)
+	silence := time.AfterFunc(patience, cancel)
 	defer silence.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -58,7 +98,9 @@
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		text, err := io.ReadAll(io.LimitReader(resp.Body, 256))
-		return errors.Join(&StatusError{resp.StatusCode, string(bytes.TrimSpace(text))}, err)
+		no := &StatusError{Code: resp.StatusCode, Text: string(bytes.TrimSpace(text))}
+		no.told(resp.Header)
+		return errors.Join(no, err)
 	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 16<<10), maxLine)
--- a/internal/metrics/figure.go
+++ b/internal/metrics/figure.go
@@ -49,6 +49,11 @@
 		gauge("router.list_silent_ms", "list_silent_milliseconds", "Since a list server's last line.", silent)
 		counter("router.list_turns", "list_turns_total", "Watches that ended.", nil, f.ListTurns.Load())
 		counter("router.list_older", "list_older_total", "Lists refused since they were older than what is known.", nil, f.ListOlder.Load())
+		counter("router.list_asks", "list_asks_total", "Asks for the list.", nil, f.ListAsks.Load())
+		counter("router.list_later", "list_told_later_total", "Of those, asks that were told when to come.", nil, f.ListLater.Load())
+		gauge("router.start_list_ms", "start_list_milliseconds", "From the process's beginning to a server's first list; -1 for not yet.", f.startList.Load()-1)
+		gauge("router.start_call_ms", "start_call_milliseconds", "To the first call; -1 for not yet.", f.startCall.Load()-1)
+		gauge("router.start_delivery_ms", "start_delivery_milliseconds", "To the first delivery; -1 for not yet.", f.startDelivery.Load()-1)
 		counter("router.list_doubted", "list_doubted_total", "Lists held back that lacked most of what was known.", nil, f.ListDoubted.Load())
 	}
 	if f.Fellows {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,6 +25,8 @@
 	OwnList                                         bool
 	ListRevision, ListOlder, ListDoubted, ListTurns atomic.Int64
 	listHeard                                       atomic.Int64 // Unix time in nanoseconds of a server's last line
+	ListAsks, ListLater                             atomic.Int64
+	startList, startCall, startDelivery             atomic.Int64 // milliseconds since the process began, plus 1; 0 for not yet
 
 	times times
 }
@@ -39,6 +41,22 @@
 	return f
 }
 
+// StartedWith, FirstCall and FirstDelivery note how long after its beginning a process had a server's list, made a call
+// and delivered a message. Only the first time counts.
+func (f *Set) StartedWith(d time.Duration) { once(&f.startList, d) }
+
+// FirstCall: see StartedWith.
+func (f *Set) FirstCall(d time.Duration) { once(&f.startCall, d) }
+
+// FirstDelivery: see StartedWith.
+func (f *Set) FirstDelivery(d time.Duration) { once(&f.startDelivery, d) }
+
+func once(v *atomic.Int64, d time.Duration) {
+	if v.Load() == 0 {
+		v.CompareAndSwap(0, max(d.Milliseconds(), 0)+1)
+	}
+}
+
 // Delivered counts a message's final answer, as Shed and Failed do. A class that the settings don't name has no figure.
 func (f *Set) Delivered(class int) {
 	if e := f.of(class); e != nil {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -77,16 +77,15 @@
 	if err != nil {
 		return nil, errors.Join(err, n.journal.Close())
 	}
-	known := n.cfg.Known
-	if n.kept = keptList(n.cfg); n.kept != nil {
-		if last, err := n.kept.Read(); err != nil {
-			n.log.Warn("kept_list_unusable", "err", err)
-		} else if last.Revision > known.Revision {
-			known = last
-		}
-	}
-	if n.members != nil {
+	n.kept = keptList(n.cfg)
+	var known listwatch.List
+	switch { // a process that has known a list, or takes one over, does not begin
+	case c.State != nil && c.State.Revision > 0:
+		known = listwatch.List{Revision: c.State.Revision, Members: c.State.Members}
+	case n.members != nil && n.revision > 0:
 		known = listwatch.List{Revision: n.revision, Members: slices.Collect(maps.Values(n.members))}
+	default:
+		known = n.startWith()
 	}
 	if s := c.State; s != nil {
 		if n.sender, err = choice.Carried(n.cfg.Settings, seed(n.cfg.Seed), s.Sender); err != nil {
@@ -94,7 +93,6 @@
 		}
 		n.start = time.Now().Add(-(s.Clock - epoch) - min(max(time.Since(time.Unix(0, s.At)), 0), handover.AskTimeout))
 		n.wakeAt = n.sender.WakeAt()
-		known = listwatch.List{Revision: s.Revision, Members: s.Members}
 		for _, d := range s.Dests {
 			n.dests[d] = true
 		}
--- a/internal/node/keptlist.go
+++ b/internal/node/keptlist.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"harrierramp/choice"
+	"harrierramp/internal/coldstart"
 	"harrierramp/internal/config"
 	"harrierramp/internal/journal"
 	"harrierramp/internal/listwatch"
@@ -40,6 +43,86 @@
 	return listwatch.NewKept(c.State, keptRoom(c))
 }
 
+// startWith begins to wait for a list, and returns what may be served on at once: what the configuration names, or the
+// list that is kept, whichever is later. One that may come into force later is left in n.stale.
+func (n *Node) startWith() listwatch.List {
+	known, at := n.cfg.Known, time.Time{}
+	if n.kept != nil {
+		if last, when, err := n.kept.Read(); err != nil {
+			n.log.Warn("kept_list_unusable", "err", err)
+		} else if last.Revision > known.Revision {
+			known, at = last, when
+		}
+	}
+	if n.cfg.Registry == nil {
+		return known
+	}
+	was := coldstart.Kept{There: known.Revision > 0, Age: -1}
+	if !at.IsZero() {
+		was.Age = max(time.Since(at), 0) // the clock may have been set back
+	}
+	n.cold = coldstart.New(coldstart.Config{
+		KeptAfter: n.cfg.Registry.KeptAfter.Duration(), KeptMost: n.cfg.Registry.KeptMost.Duration(), Cycle: n.turn().Cycle(),
+	}, n.now(), was)
+	if n.cold.KeptDue(n.now()) {
+		n.unconfirmed = true
+		return known
+	}
+	n.stale = known
+	n.await()
+	return listwatch.List{}
+}
+
+// awaited is what the start waits for, for readers that must not wait for the loop.
+type awaited struct {
+	since  time.Time
+	reason string
+}
+
+// await tells clients and operators whether the node waits for a list.
+func (n *Node) await() {
+	if n.cold == nil || n.cold.Ready() {
+		n.awaits.Store(nil)
+		return
+	}
+	a := &awaited{time.Now(), n.cold.Reason()}
+	n.awaits.Store(a)
+	n.log.Info("list_awaited", "reason", a.reason)
+}
+
+// awaiting says what the start waits for, and since when; empty once it is ready. It may be called from any goroutine.
+func (n *Node) awaiting() string {
+	a := n.awaits.Load()
+	if a == nil {
+		return ""
+	}
+	return fmt.Sprintf("waiting for the list since %.1f s: %s", time.Since(a.since).Seconds(), a.reason)
+}
+
+// begun notes the first list of a server's, which ends the wait for one.
+func (n *Node) begun(l listwatch.List) {
+	if n.cold == nil || !n.cold.Listed(n.now()) {
+		return
+	}
+	took, _ := n.cold.Took()
+	n.await()
+	n.figures.StartedWith(time.Since(n.began))
+	n.log.Info("list_known", "revision", l.Revision, "took", time.Since(n.began), "ready_after", took, "asks", n.figures.ListAsks.Load(),
+		"told_later", n.figures.ListLater.Load())
+}
+
+// keptDue brings the kept list into force where no server has told one for too long.
+func (n *Node) keptDue() (events []choice.Event) {
+	if n.cold == nil || !n.cold.KeptDue(n.now()) {
+		return nil
+	}
+	n.log.Warn("kept_list_in_force", "revision", n.stale.Revision, "members", len(n.stale.Members))
+	known := n.stale
+	known.Complete, n.stale = true, listwatch.List{}
+	n.await()
+	return []choice.Event{n.listed(known)}
+}
+
 // keepList writes the list down if it is due. An empty one is never worth more than what was kept.
 func (n *Node) keepList() {
 	if n.kept == nil || n.kept.Wait(time.Now()) > 0 {
--- a/internal/node/listservice.go
+++ b/internal/node/listservice.go
@@ -2,23 +2,16 @@
 
 import (
 	"maps"
-	"time"
+	"math/rand/v2"
 
-	"harrierramp/internal/backoff"
 	"harrierramp/internal/listwatch"
+	"harrierramp/internal/turns"
 )
 
-const (
-	// All nodes lose a server that dies at the same moment. The first asks of the next one are spread over the
-	// fleet's size, so that it is asked by about as many a second whatever the size.
-	turnSpacing = 10 * time.Millisecond
-	leastTurn   = 100 * time.Millisecond
-)
-
-// turnPauses are the pauses before the next server is asked.
-func turnPauses(fleet int) backoff.Backoff {
-	first := max(leastTurn, time.Duration(fleet)*turnSpacing)
-	return backoff.Backoff{First: first, Last: max(backoff.Last, 8*first)}
+// turn is this node's among the others, for what all may want of the list service at once.
+func (n *Node) turn() *turns.Turn {
+	s := n.cfg.Settings
+	return turns.NewTurn(s.Fleet, s.Number, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
 
 // newWatcher is what follows the list for the node, from what it knows now.
@@ -28,7 +21,8 @@
 		Turned: func() { n.figures.ListTurns.Add(1) }, Tell: tell,
 	}
 	if n.cfg.Registry != nil {
-		w.Pause, w.Check = turnPauses(n.cfg.Settings.Fleet), n.newDoubt().Check
+		w.Turns, w.Begin, w.Check = n.turn(), n.cold != nil && !n.cold.Whole(), n.newDoubt().Check
+		w.Asked, w.Later = func() { n.figures.ListAsks.Add(1) }, func() { n.figures.ListLater.Add(1) }
 	}
 	return w
 }
@@ -36,6 +30,6 @@
 func (n *Node) newDoubt() *listwatch.Doubt {
 	return listwatch.NewDoubt(listwatch.Doubt{
 		Log: n.log, Client: n.client, At: n.discovery, Hold: min(n.cfg.Settings.DrainGrace*3/4, listwatch.MostDoubt),
-		Head: n.revision, Older: &n.figures.ListOlder, Doubted: &n.figures.ListDoubted,
+		Head: n.revision, Unconfirmed: n.unconfirmed, Older: &n.figures.ListOlder, Doubted: &n.figures.ListDoubted,
 	}, maps.Values(n.members))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"hash/fnv"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +20,7 @@
 	"harrierramp/choice"
 	"harrierramp/internal/admin"
 	"harrierramp/internal/backoff"
+	"harrierramp/internal/coldstart"
 	"harrierramp/internal/config"
 	"harrierramp/internal/egress"
 	"harrierramp/internal/handover"
@@ -85,14 +87,20 @@
 	revision  int64                       // of it
 	learnt    *learnt                     // what the sender has learnt, on disk
 	kept      *listwatch.Kept             // of the last good list; nil if it is not kept
-	waits     map[int]*atomic.Int64       // of destinations whose endpoints share them
-	owed      []outbox.Notice             // not yet handed to the reporter
-	named     map[string]bool             // endpoints that a list has ever named
-	dests     map[int]bool                // all that a list has ever named
-	held      int                         // messages without their final answer
-	acts      []func()                    // what the records that are not yet written guard, in order
-	wakeAt    time.Duration               // of the module; 0 none
-	calls     sync.WaitGroup
+	cold      *coldstart.Start            // what the start waits for; nil where the platform names the list
+	stale     listwatch.List              // a kept list that is not in force
+	began     time.Time                   // of this process
+	awaits    atomic.Pointer[awaited]     // shared: nil once there is a list
+	// The list that is known comes from before the start, and no server has confirmed it yet.
+	unconfirmed bool
+	waits       map[int]*atomic.Int64 // of destinations whose endpoints share them
+	owed        []outbox.Notice       // not yet handed to the reporter
+	named       map[string]bool       // endpoints that a list has ever named
+	dests       map[int]bool          // all that a list has ever named
+	held        int                   // messages without their final answer
+	acts        []func()              // what the records that are not yet written guard, in order
+	wakeAt      time.Duration         // of the module; 0 none
+	calls       sync.WaitGroup
 }
 
 // Events of the loop.
@@ -120,7 +128,7 @@
 // New makes a node that Run brings to life. Its folder must be the node's alone.
 func New(cfg config.Config, log *slog.Logger) *Node {
 	n := &Node{
-		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
+		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(), began: time.Now(),
 		figures:   metrics.New(cfg.Names.Classes),
 		client:    listwatch.NewClient(cfg.From()),
 		discovery: listwatch.NewAddresses(cfg.DiscoveryAt()),
@@ -165,6 +173,7 @@
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
 	n.clients = ingress.NewServer(ln, n.cfg.Limits.Sockets/3, n.cfg.Names, func(q ingress.Request) ingress.Answer { return n.hand(life, q) })
+	n.clients.Await(n.awaiting)
 	n.clients.Pause()
 	parts.Go(func() { n.clients.Serve(life) })
 	gone := make(chan struct{})
@@ -375,6 +384,9 @@
 	if n.kept != nil {
 		wait = min(wait, n.kept.Wait(time.Now()))
 	}
+	if n.cold != nil && n.cold.Wake() > 0 {
+		wait = min(wait, max(n.cold.Wake()-n.now(), 0))
+	}
 	return min(wait, n.fellows.wait(n.now()))
 }
 
@@ -387,6 +399,8 @@
 	for _, e := range batch {
 		switch e := e.(type) {
 		case listwatch.List:
+			n.unconfirmed = false
+			n.begun(e)
 			events = append(events, n.listed(e))
 		case called:
 			events = append(events, n.called(e))
@@ -425,6 +439,7 @@
 			events = append(events, n.arrived(n.messages[e.ID], e.Came.Add(e.Life)))
 		}
 	}
+	events = append(events, n.keptDue()...)
 	events = append(events, n.meet()...)
 	// What the module is about to be told of, and the clients with it, rests on these records.
 	if err := n.journal.Flush(); err != nil && len(fresh) > 0 {
@@ -452,6 +467,9 @@
 	switch {
 	case n.messages[a.ID] != nil:
 		return ingress.Answer{}, false // taken on before: handed in again it has no second effect
+	case !n.dests[a.Dest] && n.cold != nil && !n.cold.Whole(): // the list that is awaited may name it
+		n.figures.Shed(a.Class)
+		return ingress.Answer{Refused: true, After: n.cold.Come(rand.Float64())}, false
 	case !n.dests[a.Dest]:
 		n.figures.Failed(a.Class)
 		return ingress.Answer{Failed: "unknown destination"}, false
@@ -598,6 +616,7 @@
 	if e.Closed && m.Ended == nil {
 		if e.Outcome == choice.Pass {
 			n.figures.Delivered(m.Class)
+			n.figures.FirstDelivery(time.Since(n.began))
 		} else { // withdrawn or out of time, the endpoint says
 			n.figures.Failed(m.Class)
 		}
@@ -708,6 +727,7 @@
 	pool := n.pool
 	name, now := attempt{a.ID, len(p.Sends)}, time.Now()
 	n.journal.Attempt(p, now, e.Zone)
+	n.figures.FirstCall(time.Since(n.began))
 	if name.n == 0 && !p.Came.IsZero() {
 		n.figures.First(p.Dest, now.Sub(p.Came))
 	}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -13,8 +13,13 @@
 
 // The node as the door sees it; all of these are called from any goroutine.
 
-// Ready tells that this process owns the node and serves.
-func (n *Node) Ready() bool { return n.serving.Load() }
+// NotReady says why this process does not take messages; empty if it owns the node, serves, and has a list.
+func (n *Node) NotReady() string {
+	if !n.serving.Load() {
+		return admin.ErrNotServing.Error()
+	}
+	return n.awaiting()
+}
 
 // Stats are the figures as StatsD lines.
 func (n *Node) Stats() []byte { return n.figures.Text() }
--- a/internal/registry/feed.go
+++ b/internal/registry/feed.go
@@ -92,6 +92,13 @@
 	return f.h.Since(0)
 }
 
+// leadsFrom tells whether changes lead from a revision to the list of now.
+func (f *feed) leadsFrom(after Revision) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return after == f.h.head || f.h.tells(after)
+}
+
 // head is the revision that holds.
 func (f *feed) head() Revision {
 	f.mu.Lock()
--- a/internal/registry/figures.go
+++ b/internal/registry/figures.go
@@ -18,6 +18,7 @@
 	connections, turnedAway     atomic.Int64
 	badCalls, refused, failures atomic.Int64
 	diskErrors, notices         atomic.Int64
+	later                       atomic.Int64 // asks that were told when to come
 	heard                       atomic.Int64 // Unix time in nanoseconds; the primary's last line
 	followers                   followers
 }
@@ -82,6 +83,8 @@
 	gauge("lag_ms", s.silent().Milliseconds())
 	gauge("connections", f.connections.Load())
 	count("turned_away", &f.turnedAway)
+	count("told_later", &f.later)
+	gauge("turns_out", int64(s.gate.out()))
 	count("bad_calls", &f.badCalls)
 	count("refused", &f.refused)
 	count("failures", &f.failures)
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"harrierramp/internal/listwatch"
 )
 
 const (
@@ -71,10 +73,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", s.list)
 	mux.HandleFunc("GET /registry/status", func(w http.ResponseWriter, _ *http.Request) { s.answer(w, s.status()) })
-	mux.HandleFunc("PUT /registry/instances/{id}", s.register)
-	mux.HandleFunc("POST /registry/instances/{id}/renew", s.renew)
-	mux.HandleFunc("PUT /registry/instances/{id}/phase", s.setPhase)
-	mux.HandleFunc("DELETE /registry/instances/{id}", s.withdraw)
+	mux.HandleFunc("PUT /registry/instances/{id}", s.renewals(s.register))
+	mux.HandleFunc("POST /registry/instances/{id}/renew", s.renewals(s.renew))
+	mux.HandleFunc("PUT /registry/instances/{id}/phase", s.renewals(s.setPhase))
+	mux.HandleFunc("DELETE /registry/instances/{id}", s.renewals(s.withdraw))
 	mux.HandleFunc("POST /reports", s.report)
 	mux.HandleFunc("GET /reports", s.reported)
 	return mux
@@ -121,7 +123,11 @@
 	var elsewhere *notPrimary
 	var large *http.MaxBytesError
 	code := http.StatusServiceUnavailable
+	notNow, turn := isLater(err)
 	switch {
+	case turn:
+		said.AfterMS = notNow.wait.Milliseconds()
+		listwatch.TellWait(w.Header(), notNow.wait, notNow.turn)
 	case errors.As(err, &conflict):
 		code, said.AfterMS = http.StatusConflict, conflict.After.Milliseconds()
 	case errors.As(err, &elsewhere):
@@ -136,6 +142,8 @@
 		code = http.StatusBadRequest
 	}
 	switch {
+	case turn:
+		s.figures.later.Add(1)
 	case code >= 500:
 		s.figures.failures.Add(1)
 	case code == http.StatusConflict, code == http.StatusMisdirectedRequest, code == http.StatusNotFound:
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -35,6 +35,7 @@
 	Coalesce    time.Duration // changes so close together are told at once
 	MaxWatchers int
 	MaxReports  int64    // bytes of notices that are kept
+	StartRate   float64  // whole lists a second that are told to those who begin; the others are told when to come. 0 for any number
 	Source      net.Addr // where connections to other servers come from; nil for the system's choice
 }
 
@@ -93,6 +94,7 @@
 	reports *reports // shared
 	figures figures  // shared
 	peers   *peers   // shared
+	gate    *gate    // shared
 	client  *http.Client
 	start   time.Time
 	orders  chan order
@@ -117,7 +119,7 @@
 	s := &Server{
 		cfg: cfg, log: log, store: store, cat: NewCatalog(cfg.Options), feed: newFeed(cfg.Coalesce), reports: reps,
 		peers: newPeers(cfg), start: time.Now(), orders: make(chan order, maxOrders), stopped: make(chan struct{}),
-		client: listwatch.NewClient(cfg.Source),
+		client: listwatch.NewClient(cfg.Source), gate: newGate(cfg.StartRate),
 	}
 	for _, l := range lists {
 		s.cat.Apply(0, l)
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -20,6 +20,10 @@
 		s.refuse(w, errNoList) // nobody is to take this for an empty list
 		return
 	}
+	if err := s.admit(r, Revision(after)); err != nil {
+		s.refuse(w, err)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if r.URL.Query().Get("watch") != "1" {
 		n, err := s.feed.since(0, false, true)
