Wait longer for a list service that takes notices slowly

With the project's own service the patience doubles to 4 s after each post given up so; with the platform's agent nothing changes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -236,7 +236,11 @@
 	follow, after := n.newWatcher(func(l listwatch.List) { n.tell(term, l) }), n.revision
 	parts.Go(func() { follow.Run(term, after) })
 	parts.Go(func() {
-		outbox.Run(term, n.log, n.client, n.discovery, n.notices, func(b []outbox.Notice) { n.tell(term, settled(b)) })
+		patience := time.Duration(0)
+		if n.cfg.Registry != nil {
+			patience = outbox.SlowPatience
+		}
+		outbox.Run(term, n.log, n.client, n.discovery, patience, n.notices, func(b []outbox.Notice) { n.tell(term, settled(b)) })
 	})
 	if ln, err := handover.Listen(n.cfg.State); err != nil {
 		n.log.Error("handover_unavailable", "err", err)
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -20,6 +21,9 @@
 	// noticeTimeout bounds one post. The agent answers at once, and a notice is overdue 300 ms after its
 	// message's time, so a connection that says nothing is given up early.
 	noticeTimeout = 500 * time.Millisecond
+	// SlowPatience is for a list service that may be slow: one that takes longer than noticeTimeout for every post would
+	// never be heard to take any, and be given each again and again.
+	SlowPatience = 4 * time.Second
 	maxPost       = 64 << 10 // of a post, and of its answer
 	maxNotices    = 32       // in one post: with the longest ids, every byte escaped, its body stays under 64 KiB
 )
@@ -42,10 +46,13 @@
 
 // Run posts the notices that come, in order, until ctx ends. A post that is not taken is made again, for a
 // notice that comes twice does no harm and one that never comes loses its message. What was taken goes to
-// done; the journal keeps the rest for the next start.
+// done; the journal keeps the rest for the next start. A post is given up after half a second, and after each that was
+// given up so, one waits twice as long for the next, up to patience, if that is more.
 func Run(
-	ctx context.Context, log *slog.Logger, client *http.Client, at *listwatch.Addresses, notices <-chan []Notice, done func([]Notice),
+	ctx context.Context, log *slog.Logger, client *http.Client, at *listwatch.Addresses, patience time.Duration, notices <-chan []Notice,
+	done func([]Notice),
 ) {
+	wait := noticeTimeout
 	for turn := 0; ; {
 		var batch []Notice
 		select {
@@ -57,16 +64,20 @@
 		for len(batch) > 0 {
 			some := batch[:min(len(batch), maxNotices)]
 			addr, here, cancel := at.Here(ctx, turn)
-			err := post(here, client, addr, some)
+			err := post(here, client, addr, some, wait)
 			switch {
 			case err == nil:
 				batch = batch[len(some):]
 				pause.Reset()
+				wait = max(wait/2, noticeTimeout)
 				done(some)
 			case here.Err() != nil:
 				pause.Reset() // it has moved, or the node ends
 			default:
 				turn++
+				if errors.Is(err, context.DeadlineExceeded) {
+					wait = max(wait, min(2*wait, patience))
+				}
 				log.Debug("notices_not_taken", "addr", addr, "count", len(some), "err", err)
 				backoff.Sleep(here, pause.Next())
 			}
@@ -79,8 +90,8 @@
 }
 
 // post makes one post of notices, an object a line.
-func post(ctx context.Context, client *http.Client, addr string, batch []Notice) error {
-	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+func post(ctx context.Context, client *http.Client, addr string, batch []Notice, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	var body bytes.Buffer
 	lines := json.NewEncoder(&body)
--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -38,7 +38,7 @@
 	notices := make(chan []Notice, 1)
 	notices <- batch
 	settled := 0
-	Run(ctx, slog.New(slog.DiscardHandler), srv.Client(), listwatch.NewAddresses([]string{srv.Listener.Addr().String()}), notices, func(done []Notice) {
+	Run(ctx, slog.New(slog.DiscardHandler), srv.Client(), listwatch.NewAddresses([]string{srv.Listener.Addr().String()}), 0, notices, func(done []Notice) {
 		if settled += len(done); settled >= count {
 			cancel()
 		}
@@ -53,3 +53,26 @@
 		}
 	}
 }
+
+// A list service that takes longer than usual for every post hears of a notice a few times at most, and not for ever.
+func TestASlowListServiceIsWaitedFor(t *testing.T) {
+	posts := make(chan struct{}, 100)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		posts <- struct{}{}
+		time.Sleep(noticeTimeout * 3 / 2)
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer srv.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	notices := make(chan []Notice, 1)
+	notices <- []Notice{NewNotice(&journal.Message{ID: "a", Ended: &journal.Ending{}})}
+	settled := 0
+	Run(ctx, slog.New(slog.DiscardHandler), srv.Client(), listwatch.NewAddresses([]string{srv.Listener.Addr().String()}), SlowPatience, notices, func(done []Notice) {
+		settled += len(done)
+		cancel()
+	})
+	if settled != 1 || len(posts) > 2 {
+		t.Errorf("%d settled after %d posts", settled, len(posts))
+	}
+}
