Let a keeper find the limit of a route that tells none

Cause: where neither the list nor answers tell a limit, pace() is not bound, so a keeper granted whatever it was asked for and only rested after refusals; a fleet that starts spends all attempts within half a second. Seen on the stage, one message traced: 12 attempts from 1.78 to 2.27 s, each refused after 30 to 60 ms, then handed back.

Now a route that stands for all senders, tells nothing and has refused is taken to bear what it passed in its best second, a tenth more each second after the last cut.

--- a/choice/account.go
+++ b/choice/account.go
@@ -86,10 +86,13 @@
 
 // limit is what the route takes a second from all senders as far as it is told, 0 for no limit.
 func (s *Sender) limit(r *route) float64 {
-	if !r.reported && r.weight > 0 {
+	switch {
+	case !r.reported && r.weight > 0:
 		return r.weight
+	case r.limit > 0:
+		return r.limit
 	}
-	return r.limit
+	return s.found(r)
 }
 
 // slow tells that a destination's oldest call has been out far longer than usual: before any time-out has
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -40,6 +40,7 @@
 	allowanceFade = 10 * time.Second       // in which an allowance goes from what was granted to an even part
 	allowanceCut  = 0.5                    // factor on it at a refusal over the limit,
 	allowanceGrow = 0.05                   // and what comes back a second
+	foundGrow     = 0.1                    // share by which a limit that was found is tried higher, a second
 )
 
 // met takes what membership tells of another sender. Who asked one that is gone asks the next at once.
@@ -334,6 +335,16 @@
 	return best
 }
 
+// found is what all together take as the limit of a route that tells none and has refused: what it passed in its best
+// second, and more with time, for it may take more by now.
+func (s *Sender) found(r *route) float64 {
+	if !r.whole || r.cutAt == 0 || r.reported {
+		return 0
+	}
+	best := max(r.busiest, r.passed/max(1, seconds(s.now-r.passedAt)), 1)
+	return best * (1 + foundGrow*seconds(s.now-r.cutAt))
+}
+
 // fleetStruck takes an outage that another sender has met while it heard no keeper, as the keeper: those who
 // come back all at once must not be granted what a cold destination can't do. Others who get through know
 // better.
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -53,7 +53,9 @@
 // server's, and what clients are told is bounded.
 func TestAStartGoesOneWay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		span := rapid.Custom(func(t *rapid.T) time.Duration { return time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "span")) })
+		span := rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "span"))
+		})
 		cfg := Config{KeptAfter: span.Draw(t, "after"), KeptMost: span.Draw(t, "most"), Cycle: span.Draw(t, "cycle")}
 		x := New(cfg, 0, Kept{rapid.Bool().Draw(t, "kept"), span.Draw(t, "age") - time.Second})
 		now, was, due, firsts := time.Duration(0), false, 0, 0
--- a/internal/lab/stage/script.go
+++ b/internal/lab/stage/script.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -75,6 +76,8 @@
 	Keep       bool `toml:"keep"`
 	Door       bool `toml:"door"`
 	Slots      int  `toml:"slots"`
+	// Weights says whether the list tells what an endpoint takes, in calls a second: none, nominal or rough.
+	Weights string `toml:"weights"`
 }
 
 // FaultAt is a fault on the ways between two groups, for a time. Groups are as Group reads them.
@@ -158,6 +161,9 @@
 	if s.Node.Slots == 0 {
 		s.Node.Slots = 64
 	}
+	if s.Node.Weights == "" {
+		s.Node.Weights = "none"
+	}
 	endpoints := 0
 	for i := range s.Dests {
 		d := &s.Dests[i]
@@ -180,6 +186,8 @@
 		return fmt.Errorf("traffic for %v of messages that live %v: up to %v", s.For.Duration(), s.Traffic.Life.Duration(), MaxFor)
 	case !(s.Traffic.Rate >= 0 && s.Traffic.Rate <= maxRate) || s.Traffic.Burst < 0 || s.Traffic.Burst > maxBurst:
 		return fmt.Errorf("traffic of %v a second and %d at once: up to %d and %d at a node", s.Traffic.Rate, s.Traffic.Burst, maxRate, maxBurst)
+	case !slices.Contains([]string{"none", "nominal", "rough"}, s.Node.Weights):
+		return fmt.Errorf("node.weights is %q: none, nominal or rough", s.Node.Weights)
 	case !(s.Traffic.Unsafe >= 0 && s.Traffic.Unsafe <= 1):
 		return fmt.Errorf("traffic.unsafe is %v: a share from 0 to 1", s.Traffic.Unsafe)
 	}
--- a/internal/lab/stage/settings.go
+++ b/internal/lab/stage/settings.go
@@ -31,8 +31,8 @@
 		"fleetSize": s.Nodes, "myNumber": number, "flavors": []string{"partner"}, "failureDomains": []string{"a"},
 		"categories": []any{class(classNames[classSafe], "idempotent"), class(classNames[classOnce], "at_most_once")},
 		"customers":  []any{map[string]any{"name": "t", "allowancePerS": 1e6}},
-		"discovery":  "pushed", "overShareWorth": 0.2, "tick": 5,
-		"domain": map[string]any{"decay": "line", "workers": s.Node.Slots, "separateRoutes": []bool{false}, "kindBatch": []int{1}},
+		"discovery":  "pushed", "weights": s.Node.Weights, "overShareWorth": 0.2, "tick": 5,
+		"domain": map[string]any{"decay": "line", "workers": s.Node.Slots, "separateRoutes": []bool{true}, "kindBatch": []int{1}},
 		"limits": map[string]any{
 			"dialTimeout": 1000, "connIdle": connIdle.Milliseconds(), "maxAttempts": 12, "maxOpen": 2000, "maxRetryAfter": 3000,
 			"retryAfter": true, "cancel": true, "mayTell": s.Node.Notes,
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -178,7 +178,7 @@
 	source := &net.TCPAddr{IP: net.IP(st.block.own(p).AsSlice())}
 	face := at(st.block.face(p), callPort)
 	st.partners = append(st.partners, &listedPartner{
-		p: one, instance: partner.Instance{ID: cfg.ID, Addr: face, Zone: "a", Kind: "partner", Dest: dest, Size: 1},
+		p: one, instance: partner.Instance{ID: cfg.ID, Addr: face, Zone: "a", Kind: "partner", Dest: dest, Size: max(spec.Rate, 1)},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{LocalAddr: source}).DialContext}},
 	})
 	return st.net.TCP(face, p, own)
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -24,8 +24,8 @@
 	// SlowPatience is for a list service that may be slow: one that takes longer than noticeTimeout for every post would
 	// never be heard to take any, and be given each again and again.
 	SlowPatience = 4 * time.Second
-	maxPost       = 64 << 10 // of a post, and of its answer
-	maxNotices    = 32       // in one post: with the longest ids, every byte escaped, its body stays under 64 KiB
+	maxPost      = 64 << 10 // of a post, and of its answer
+	maxNotices   = 32       // in one post: with the longest ids, every byte escaped, its body stays under 64 KiB
 )
 
 // Notice tells the platform how a message ended that was taken on and not delivered.
