--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -237,6 +237,36 @@
 	}
 }
 
+// Neither the list nor an answer tells the limit: the keeper finds it from what passes, follows it down, and comes back
+// up to it.
+func TestAFleetFindsALimitThatNobodyTells(t *testing.T) {
+	w := newFleet(t, 40, true)
+	w.cfg.Weighted = false
+	for i := range w.senders {
+		w.start(i)
+	}
+	for _, c := range []struct {
+		name         string
+		limit        float64
+		settle, span time.Duration
+		least, most  float64 // passed and refused, as shares of the limit
+	}{
+		{"found", fleetLimit, 5 * time.Second, 10 * time.Second, 0.7, 0.25},
+		{"lowered", fleetLimit / 2, 5 * time.Second, 10 * time.Second, 0.6, 0.5},
+		{"back", fleetLimit, 15 * time.Second, 10 * time.Second, 0.7, 0.25},
+	} {
+		w.limit = c.limit
+		w.run(c.settle, 1.5*fleetLimit)
+		w.passed, w.full = 0, 0
+		w.run(c.span, 1.5*fleetLimit)
+		all := c.limit * seconds(c.span)
+		t.Logf("%s: %d passed and %d refused of %.0f", c.name, w.passed, w.full, all)
+		if float64(w.passed) < c.least*all || float64(w.full) > c.most*all {
+			t.Errorf("%s: %d calls passed and %d were refused, of %.0f that could pass", c.name, w.passed, w.full, all)
+		}
+	}
+}
+
 func TestAFleetTriesAStruckPartnerOnce(t *testing.T) {
 	w := newFleet(t, 40, true)
 	w.run(3*time.Second, fleetLimit)
--- a/internal/cli/registry.go
+++ b/internal/cli/registry.go
@@ -59,6 +59,7 @@
 	f.Int64Var((*int64)(&o.server.After), "after-epoch", 0, "with --bootstrap: begin after this epoch, which nodes have heard of")
 	f.DurationVar(&o.server.Coalesce, "coalesce", 20*time.Millisecond, "changes so close together are told at once")
 	f.IntVar(&o.server.MaxWatchers, "watchers", 4096, "watches at most")
+	f.DurationVar(&o.server.Settle, "settle", 5*time.Second, "a list that is begun anew is told as not whole for so long")
 	f.Float64Var(&o.server.StartRate, "start-rate", turns.DefaultRate,
 		"whole lists a second for nodes that begin; the others are told when to come (0: no bound)")
 	f.Int64Var(&o.places, "connections", 8192, "connections at most")
--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -40,7 +40,8 @@
 	kept   bool // there is a kept list that may come into force
 	why    string
 	ready  bool
-	listed bool // a server has told the list
+	heard  bool // a server has told a list
+	listed bool // and said that it is whole
 	at     time.Duration
 }
 
@@ -62,7 +63,7 @@
 
 // KeptDue tells, once, that the kept list comes into force now.
 func (s *Start) KeptDue(now time.Duration) bool {
-	if !s.kept || s.listed || now-s.began < s.cfg.KeptAfter {
+	if !s.kept || s.heard || now-s.began < s.cfg.KeptAfter {
 		return false
 	}
 	s.kept, s.ready, s.at = false, true, now
@@ -71,27 +72,33 @@
 
 // Wake is when KeptDue has to be asked; 0 for never.
 func (s *Start) Wake() time.Duration {
-	if !s.kept || s.listed {
+	if !s.kept || s.heard {
 		return 0
 	}
 	return s.began + s.cfg.KeptAfter
 }
 
-// Listed notes a list of a server's, and tells whether it is the first.
-func (s *Start) Listed(now time.Duration) (first bool) {
-	if s.listed {
+// Listed notes a list of a server's with so many endpoints, and tells whether it is the first. One that settles may lack
+// endpoints that are there, and so does not say which destinations are unknown; an empty one that settles says nothing.
+func (s *Start) Listed(now time.Duration, settles bool, endpoints int) (first bool) {
+	s.listed = s.listed || !settles
+	if settles && endpoints == 0 {
+		if !s.heard {
+			s.why = "the list service has just begun, and no endpoint has registered yet"
+		}
 		return false
 	}
-	if s.listed = true; !s.ready {
+	first = !s.heard
+	if s.heard = true; !s.ready {
 		s.ready, s.at = true, now
 	}
-	return true
+	return first
 }
 
 // Ready tells whether messages may be taken.
 func (s *Start) Ready() bool { return s.ready }
 
-// Whole tells whether a server has told the list, so that what it does not name is unknown.
+// Whole tells whether a server has told the whole list, so that what it does not name is unknown.
 func (s *Start) Whole() bool { return s.listed }
 
 // Took is how long it was until the node was ready; false before that.
@@ -102,7 +109,7 @@
 	if s.ready {
 		return ""
 	}
-	return "no list server has told the list yet, and " + s.why
+	return "no list server has told a list that can be served on yet, and " + s.why
 }
 
 // Come is how long a client is told to stay away while there is no list. chance from 0 to 1 spreads the clients.
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -33,7 +33,7 @@
 			for now := s; now < 10*s; now += 100 * time.Millisecond {
 				due := x.KeptDue(now)
 				if c.listed > 0 && now == c.listed {
-					x.Listed(now)
+					x.Listed(now, false, 1)
 				}
 				if ready := c.readyAt > 0 && now >= c.readyAt; x.Ready() != ready || (due && !ready) {
 					t.Fatalf("at %v: ready %v", now, x.Ready())
@@ -61,7 +61,7 @@
 		now, was, due, firsts := time.Duration(0), false, 0, 0
 		for range rapid.IntRange(1, 50).Draw(t, "steps") {
 			now += span.Draw(t, "pause") / 10
-			if rapid.Bool().Draw(t, "list") && x.Listed(now) {
+			if rapid.Bool().Draw(t, "list") && x.Listed(now, rapid.Bool().Draw(t, "settles"), rapid.IntRange(0, 1).Draw(t, "endpoints")) {
 				firsts++
 			}
 			if x.KeptDue(now) {
@@ -81,3 +81,18 @@
 		}
 	})
 }
+
+// A list service that has just begun: its empty list says nothing, one that grows serves and names nobody unknown, and
+// only when it has settled is what it lacks unknown.
+func TestAListThatSettles(t *testing.T) {
+	x := New(Config{}, 0, Kept{})
+	if x.Listed(1, true, 0) || x.Ready() || x.Whole() || !strings.Contains(x.Reason(), "just begun") {
+		t.Errorf("an empty list that settles: ready %v, whole %v, %q", x.Ready(), x.Whole(), x.Reason())
+	}
+	if !x.Listed(2, true, 3) || !x.Ready() || x.Whole() {
+		t.Errorf("one that grows: ready %v, whole %v", x.Ready(), x.Whole())
+	}
+	if x.Listed(3, false, 0) || !x.Whole() {
+		t.Error("one that has settled is not whole")
+	}
+}
--- a/internal/lab/stage/ledger.go
+++ b/internal/lab/stage/ledger.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"harrierramp/choice"
@@ -70,7 +71,7 @@
 type ledger struct {
 	script *Script
 	day    model.Day
-	began  time.Time
+	began  atomic.Pointer[time.Time]
 	blind  bool // faults keep nodes from list servers, so that notices may come late
 
 	mu        sync.Mutex
@@ -111,7 +112,8 @@
 }
 
 func newLedger(s *Script, day model.Day, began time.Time) *ledger {
-	l := &ledger{script: s, day: day, began: began, byID: map[string]*message{}, index: map[string]int{}, nodes: make([]nodeSeen, s.Nodes)}
+	l := &ledger{script: s, day: day, byID: map[string]*message{}, index: map[string]int{}, nodes: make([]nodeSeen, s.Nodes)}
+	l.began.Store(&began)
 	l.judge = judge.New(&l.day)
 	for i := range l.nodes {
 		l.nodes[i] = nodeSeen{-1, -1, -1, -1, -1, map[int]int{}, 0, 0}
@@ -125,13 +127,12 @@
 	return l
 }
 
-func (l *ledger) now() time.Duration { return time.Since(l.began) } // the clock begins before anybody else reads it
+func (l *ledger) now() time.Duration { return time.Since(*l.began.Load()) }
 
 // restart begins the play's clock anew, before anything has happened.
 func (l *ledger) restart() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.began = time.Now()
+	now := time.Now()
+	l.began.Store(&now)
 }
 
 // excuse notes that nodes may be kept from list servers, or these be out: notices may come late from now on.
@@ -183,7 +184,7 @@
 	case e.From.Kind == relay.Server && e.To.Kind == relay.Node && e.What == relay.Passed:
 		b.ListBytes += e.Bytes
 		switch {
-		case bytes.HasPrefix(e.Text, []byte("HTTP/1.1 503")):
+		case bytes.HasPrefix(e.Text, []byte("HTTP/1.1 503")) && bytes.Contains(e.Text, []byte("Retry-After-Ms")):
 			b.Told++
 		case bytes.HasPrefix(e.Text, []byte("HTTP/1.1 200")) || bytes.Contains(e.Text, []byte(`"revision"`)):
 			b.Served++
@@ -315,7 +316,7 @@
 	if id != m.tryID || m.over {
 		return
 	}
-	at := when.Sub(l.began)
+	at := when.Sub(*l.began.Load())
 	if l.blind { // the way to the servers is part of what is played
 		at = min(at, m.until)
 	}
--- /dev/null
+++ b/internal/lab/stage/stage_test.go
@@ -0,0 +1,309 @@
+package stage
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"harrierramp/internal/cli"
+	"harrierramp/internal/lab/relay"
+)
+
+const childEnv = "TEST_CHILD_OF_THE_STAGE"
+
+// TestMain is a node or a list server when the stage starts this binary as one.
+func TestMain(m *testing.M) {
+	if os.Getenv(childEnv) != "" {
+		os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// script reads a script from text.
+func script(t *testing.T, text string) Script {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "script.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// play plays a script and fails the test for whatever the script does not expect.
+func play(t *testing.T, text string) *Report {
+	t.Helper()
+	t.Setenv(childEnv, "1")
+	r, err := Play(t.Context(), script(t, text), Options{Program: os.Args[0], Out: t.Output()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Print(t.Output()); r.Failed() {
+		t.Errorf("%d rules broken, missed %v", int(r.Figures["broken"]), r.Missed)
+	}
+	return r
+}
+
+const small = `
+[node]
+notes = true
+keep = true
+weights = "nominal"
+[[destination]]
+endpoints = 2
+rate = 40
+burst = 20
+latency = "10ms"
+[[destination]]
+endpoints = 2
+rate = 40
+burst = 20
+latency = "10ms"
+`
+
+// The list service comes seconds after its fleet: nobody is failed for want of a list, and all have it soon after.
+func TestAFleetWaitsForItsList(t *testing.T) {
+	play(t, `
+name = "late"
+seed = 3
+nodes = 12
+for = "4s"
+[start]
+servers = ["2s"]
+[traffic]
+burst = 4
+life = "6s"
+[expect]
+failed = 0
+lost = 0
+returned = 0
+refused = 0
+list_never = 0
+list_last = 4.0
+[expect_least]
+delivered = 48
+`+small)
+}
+
+// Power is lost in the middle of a start, a node is paused, another's way to the list is cut: every message taken on has
+// one end, and none runs twice beyond its class.
+func TestAStartThatIsBrokenKeepsTheRules(t *testing.T) {
+	play(t, `
+name = "broken"
+seed = 5
+nodes = 12
+servers = 2
+for = "6s"
+[traffic]
+burst = 4
+rate = 2
+life = "5s"
+unsafe = 0.3
+[[act]]
+at = "1500ms"
+spread = "1s"
+who = "nodes:50%"
+do = "kill"
+for = "700ms"
+[[act]]
+at = "1s"
+who = "nodes:3"
+do = "pause"
+for = "2s"
+[[act]]
+at = "2s"
+who = "servers:0"
+do = "kill"
+for = "1s"
+[[fault]]
+at = "500ms"
+for = "3s"
+from = "nodes:0-2"
+to = "servers:0"
+both = true
+cut = true
+[[fault]]
+from = "nodes"
+to = "nodes"
+lose = 0.2
+repeat = 0.1
+reorder = 0.1
+[expect]
+lost = 0
+crashes = 0
+list_never = 0
+[expect_least]
+delivered = 60
+`+small)
+}
+
+// An endpoint that is withdrawn gets no calls after the grace from nodes whose ways are whole.
+func TestWithdrawnEndpointsAreLeftAlone(t *testing.T) {
+	r := play(t, `
+name = "withdrawn"
+seed = 1
+nodes = 6
+for = "4s"
+[start]
+nodes = "500ms"
+[traffic]
+rate = 20
+life = "3s"
+[[act]]
+at = "2s"
+who = "partners:0"
+do = "withdraw"
+[expect]
+late_calls = 0
+lost = 0
+[expect_least]
+delivered = 200
+`+small)
+	if len(r.Marks) == 0 || len(r.Bins) < 20 {
+		t.Errorf("%d marks and %d bins", len(r.Marks), len(r.Bins))
+	}
+	if err := r.HTML(io.Discard); err != nil {
+		t.Error(err)
+	}
+}
+
+// A full disk is met as an error of the write, and not as the end of the process.
+func TestADiskThatFills(t *testing.T) {
+	play(t, `
+name = "full"
+seed = 1
+nodes = 3
+for = "4s"
+[start]
+nodes = "500ms"
+[traffic]
+rate = 10
+life = "4s"
+[[act]]
+at = "2s"
+who = "nodes:0 servers:0"
+do = "fill"
+for = "1s"
+[expect]
+crashes = 0
+lost = 0
+[expect_least]
+delivered = 50
+`+small)
+}
+
+// A stage that is opened holds its addresses; closed, it leaves no process behind, and a second one stands beside it.
+func TestTwoStagesStandBesideEachOther(t *testing.T) {
+	t.Setenv(childEnv, "1")
+	s := script(t, "nodes = 2\nfor = \"1s\"\n"+small+"\n")
+	s.Node.Door = true
+	var stages []*Stage
+	for range 2 {
+		st, err := Open(t.Context(), s, Options{Program: os.Args[0]})
+		if err != nil {
+			t.Fatal(err)
+		}
+		stages = append(stages, st)
+	}
+	var pids []int
+	for _, st := range stages {
+		p := relay.Party{Kind: relay.Node, N: 1}
+		if err := st.Start(p); err != nil {
+			t.Fatal(err)
+		}
+		x := st.of(p)
+		pids = append(pids, x.cmd.Process.Pid)
+		// Its list server is not there: the node says so, and takes no messages.
+		var why string
+		for end := time.Now().Add(20 * time.Second); why == "" && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if resp, err := http.Get("http://" + st.Door(1) + "/ops/readiness"); err == nil {
+				text, _ := io.ReadAll(resp.Body)
+				if resp.Body.Close(); resp.StatusCode == http.StatusServiceUnavailable && strings.Contains(string(text), "list") {
+					why = string(text)
+				}
+			}
+		}
+		if !strings.Contains(why, "waiting for the list since") {
+			t.Errorf("readiness says %q", why)
+		}
+	}
+	for _, st := range stages {
+		if err := st.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, pid := range pids {
+		if err := syscall.Kill(pid, 0); err == nil {
+			t.Errorf("process %d is still there", pid)
+		}
+	}
+}
+
+// The same seed means the same parties.
+func TestChanceComesFromTheSeed(t *testing.T) {
+	s := Script{Nodes: 100, Servers: 1, Dests: []Dest{{Endpoints: 10}}}
+	draw := func(seed uint64) string {
+		who, err := s.Group("nodes:30% partners:2-4,7", rand.New(rand.NewPCG(seed, 0)))
+		if err != nil || len(who) != 34 {
+			t.Fatalf("%d parties, %v", len(who), err)
+		}
+		return named(who) + who[29].String()
+	}
+	if draw(1) != draw(1) || draw(1) == draw(2) {
+		t.Error("chance does not come from the seed")
+	}
+}
+
+func TestBadScriptsAreRefused(t *testing.T) {
+	for text, says := range map[string]string{
+		"nodes = 0":                            "0 nodes",
+		"nodes = 301":                          "301 nodes",
+		"nodes = 2\nservers = 9":               "9 list servers",
+		"nodes = 2\nfor = \"1h\"":              "traffic for",
+		"nodes = 2\n[traffic]\nrate = 1e9":     "up to 200",
+		"nodes = 2\n[traffic]\nunsafe = 2":     "traffic.unsafe",
+		"nodes = 2\nknots = 3":                 "knots",
+		"nodes = 2\n[node]\nweights = \"odd\"": "weights",
+		"nodes = 2\n[[fault]]\nfrom = \"nodes:2\"\nto = \"servers\"":                "numbers from 0 to 1",
+		"nodes = 2\n[[fault]]\nfrom = \"nodes\"\nto = \"\"":                         "names nobody",
+		"nodes = 2\n[[fault]]\nfrom = \"nodes\"\nto = \"servers\"\nlose = 1.5":      "share from 0 to 1",
+		"nodes = 2\n[[fault]]\nfrom = \"nodes:200%\"\nto = \"servers\"":             "no share",
+		"nodes = 2\n[[act]]\nwho = \"nodes\"\ndo = \"dance\"":                       "nothing that can be done",
+		"nodes = 2\n[[act]]\nwho = \"partners\"\ndo = \"kill\"":                     "can't be done to partner-0",
+		"nodes = 2\n[[act]]\nwho = \"nodes\"\ndo = \"kill\"\nat = \"-1s\"":          "from 0 to",
+		"nodes = 2\n[[destination]]\ncold = true":                                   "needs a rate",
+		"nodes = 2\n[[destination]]\nendpoints = 501\n[[destination]]\nrate = -1.0": "nothing below 0",
+	} {
+		path := filepath.Join(t.TempDir(), "script.toml")
+		dest := "\n[[destination]]\nrate = 1\n"
+		if err := os.WriteFile(path, []byte(text+dest), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(path); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+func FuzzScript(f *testing.F) {
+	f.Add("nodes = 2\n" + small)
+	f.Add("nodes = 3\n[[act]]\nwho = \"nodes:1-2,0 partners:50%\"\ndo = \"pause\"\nevery = \"1ms\"\n" + small)
+	f.Fuzz(func(t *testing.T, text string) {
+		path := filepath.Join(t.TempDir(), "script.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if s, err := Load(path); err == nil && (s.Nodes < 1 || s.Nodes > MaxNodes || s.partners() > MaxEndpoints || s.For.Duration() > MaxFor) {
+			t.Errorf("%+v is taken", s)
+		}
+	})
+}
--- a/internal/listwatch/discovery.go
+++ b/internal/listwatch/discovery.go
@@ -20,6 +20,9 @@
 	Revision int64    `json:"revision"`
 	Complete bool     `json:"complete"`
 	Members  []Member `json:"members"`
+	// Settling says that the list service has begun anew: endpoints that are there may not be in the list yet. The
+	// platform's discovery never says so.
+	Settling bool `json:"settling,omitempty"`
 }
 
 // Member is one endpoint of a List.
--- a/internal/node/keptlist.go
+++ b/internal/node/keptlist.go
@@ -85,9 +85,10 @@
 		n.awaits.Store(nil)
 		return
 	}
-	a := &awaited{time.Now(), n.cold.Reason()}
-	n.awaits.Store(a)
-	n.log.Info("list_awaited", "reason", a.reason)
+	a := &awaited{n.began, n.cold.Reason()}
+	if before := n.awaits.Swap(a); before == nil || before.reason != a.reason {
+		n.log.Info("list_awaited", "reason", a.reason)
+	}
 }
 
 // awaiting says what the start waits for, and since when; empty once it is ready. It may be called from any goroutine.
@@ -101,7 +102,11 @@
 
 // begun notes the first list of a server's, which ends the wait for one.
 func (n *Node) begun(l listwatch.List) {
-	if n.cold == nil || !n.cold.Listed(n.now()) {
+	if n.cold == nil {
+		return
+	}
+	if !n.cold.Listed(n.now(), l.Settling, len(l.Members)) {
+		n.await()
 		return
 	}
 	took, _ := n.cold.Took()
--- a/internal/registry/catalog.go
+++ b/internal/registry/catalog.go
@@ -59,6 +59,7 @@
 	members map[string]*held
 	byAddr  map[string]string
 
+	settling   bool // the list was begun anew, until Settled holds
 	preserving bool
 	since      time.Duration // preserving, or the last time it was not
 	lapsed     []lapse       // of the last lease time, oldest first
@@ -96,7 +97,7 @@
 
 // Whole is the whole list, with leases and lineage.
 func (c *Catalog) Whole() List {
-	l := List{Revision: c.head, Complete: true, Members: make([]Member, 0, len(c.members)), Lineage: c.past}
+	l := List{Revision: c.head, Complete: true, Members: make([]Member, 0, len(c.members)), Lineage: c.past, Settling: c.settling}
 	for _, h := range c.members {
 		l.Members = append(l.Members, h.Member)
 	}
@@ -126,7 +127,7 @@
 	if l.Complete || l.Lineage != nil {
 		c.past = l.Lineage
 	}
-	c.head = max(c.head, l.Revision)
+	c.head, c.settling = max(c.head, l.Revision), l.Settling
 }
 
 // Restore goes back to a whole list: what was applied after it could not be written down.
@@ -145,7 +146,14 @@
 
 // changes is the next revision of this epoch.
 func (c *Catalog) changes(members ...Member) List {
-	return List{Revision: c.head + 1, Members: members}
+	return List{Revision: c.head + 1, Members: members, Settling: c.settling}
+}
+
+// Settled ends the time in which the list that was begun anew may lack instances that are there.
+func (c *Catalog) Settled() List {
+	l := c.changes()
+	l.Members, l.Settling = []Member{}, false
+	return l
 }
 
 // Register grants a claim on an id and an address. Without a change to the list, the claim is only a renewal.
@@ -312,5 +320,5 @@
 	if err != nil {
 		return List{}, err
 	}
-	return List{Revision: firstOf(e), Lineage: c.past.after(c.head)}, nil
+	return List{Revision: firstOf(e), Lineage: c.past.after(c.head), Settling: c.settling || len(c.members) == 0}, nil
 }
--- a/internal/registry/history.go
+++ b/internal/registry/history.go
@@ -15,6 +15,7 @@
 	head    Revision
 	floor   Revision
 	past    lineage
+	settles bool // List.Settling of the head
 	members map[string]Member
 	ring    []change
 }
@@ -48,7 +49,7 @@
 	if l.Complete || l.Lineage != nil {
 		h.past = l.Lineage
 	}
-	h.head = l.Revision
+	h.head, h.settles = l.Revision, l.Settling
 }
 
 // tells whether what changed after a revision is known.
@@ -60,11 +61,11 @@
 // when that can't be told.
 func (h *History) Since(after Revision) List {
 	if !h.tells(after) {
-		l := List{Revision: h.head, Complete: true, Members: slices.AppendSeq([]Member{}, maps.Values(h.members)), Lineage: h.past}
+		l := List{Revision: h.head, Complete: true, Members: slices.AppendSeq([]Member{}, maps.Values(h.members)), Lineage: h.past, Settling: h.settles}
 		slices.SortFunc(l.Members, byID)
 		return l
 	}
-	l := List{Revision: h.head, Members: []Member{}, Lineage: h.past}
+	l := List{Revision: h.head, Members: []Member{}, Lineage: h.past, Settling: h.settles}
 	told := map[string]bool{}
 	for _, c := range slices.Backward(h.ring) {
 		if c.rev <= after {
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -55,6 +55,8 @@
 	Complete bool     `json:"complete"`
 	Members  []Member `json:"members"`
 	Lineage  lineage  `json:"lineage,omitempty"`
+	// Settling says that the list was begun anew, and that instances which are there may not have registered yet.
+	Settling bool `json:"settling,omitempty"`
 }
 
 // public is the list as anybody may see it.
@@ -63,7 +65,8 @@
 		Revision Revision   `json:"revision"`
 		Complete bool       `json:"complete"`
 		Members  []Instance `json:"members"`
-	}{l.Revision, l.Complete, make([]Instance, len(l.Members))}
+		Settling bool       `json:"settling,omitempty"`
+	}{l.Revision, l.Complete, make([]Instance, len(l.Members)), l.Settling}
 	for i, m := range l.Members {
 		bare.Members[i] = m.Instance
 	}
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -34,9 +34,10 @@
 	Options     Options
 	Coalesce    time.Duration // changes so close together are told at once
 	MaxWatchers int
-	MaxReports  int64    // bytes of notices that are kept
-	StartRate   float64  // whole lists a second that are told to those who begin; the others are told when to come. 0 for any number
-	Source      net.Addr // where connections to other servers come from; nil for the system's choice
+	MaxReports  int64         // bytes of notices that are kept
+	Settle      time.Duration // a list that is begun anew is told as not whole for so long; 0 for not at all
+	StartRate   float64       // whole lists a second that are told to those who begin; the others are told when to come. 0 for any number
+	Source      net.Addr      // where connections to other servers come from; nil for the system's choice
 }
 
 // Errors of orders.
@@ -101,6 +102,7 @@
 	stopped chan struct{} // closed when orders are no longer taken
 	role    atomic.Value  // shared: role
 	retryAt time.Duration // of the store
+	settled time.Duration // when a list that was begun anew is taken for whole
 }
 
 // New opens the folder and reads the list in it.
@@ -155,7 +157,7 @@
 func (s *Server) confirm(now time.Duration) error {
 	// The end of the log may be lost, with revisions that others have heard: they must not be given out again.
 	if s.cat.Head() == 0 || s.store.Cut > 0 {
-		l, err := s.cat.Promote(s.cfg.Number, s.cfg.After)
+		l, err := s.promote(s.cfg.After)
 		if err == nil {
 			err = s.write(l)
 		}
@@ -167,11 +169,19 @@
 		s.store.Cut = 0
 	}
 	s.cat.Grace(now)
+	s.settled = now + s.cfg.Settle
 	s.role.Store(rolePrimary)
 	s.log.Info("primary", "epoch", s.cat.Head().Epoch(), "revision", s.cat.Head(), "instances", s.cat.Len())
 	return nil
 }
 
+// promote is the list that begins this server's next epoch.
+func (s *Server) promote(after Epoch) (List, error) {
+	l, err := s.cat.Promote(s.cfg.Number, after)
+	l.Settling = l.Settling && s.cfg.Settle > 0
+	return l, err
+}
+
 func (s *Server) close() error { return errors.Join(s.store.Close(), s.reports.close()) }
 
 // Run carries out orders until ctx ends.
@@ -197,7 +207,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticks.C:
-			batch = append(batch, order{plan: s.lapse, held: s.lapsed})
+			batch = append(batch, order{plan: s.lapse, held: s.lapsed}, order{plan: s.settle})
 			s.heal()
 		case o := <-s.orders:
 			batch = append(batch, o)
@@ -306,6 +316,16 @@
 	return l, nil, nil
 }
 
+// settle is the order by which time ends the beginning of a list.
+func (s *Server) settle(now time.Duration) (List, any, error) {
+	if !s.is(rolePrimary) || !s.cat.settling || now < s.settled || s.store.Down() {
+		return List{}, nil, nil
+	}
+	l := s.cat.Settled()
+	s.log.Info("list_settled", "revision", l.Revision, "instances", s.cat.Len())
+	return l, nil, nil
+}
+
 func (s *Server) lapsed(now time.Duration, l List) {
 	s.cat.Lapsed(now, l)
 	for _, m := range l.Members {
@@ -367,11 +387,12 @@
 			if s.cat.Head() == 0 && !empty {
 				return List{}, nil, errNothing
 			}
-			l, err := s.cat.Promote(s.cfg.Number, known)
+			l, err := s.promote(known)
 			return l, l.Revision.Epoch(), err
 		},
 		held: func(now time.Duration, l List) {
 			s.cat.Grace(now)
+			s.settled = now + s.cfg.Settle
 			s.role.Store(rolePrimary)
 			s.log.Warn("promoted", "epoch", l.Revision.Epoch(), "instances", s.cat.Len())
 		},
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -672,3 +672,81 @@
 		t.Errorf("%d bytes: the log was not to be written anew", size())
 	}
 }
+
+// A list that is begun anew says that it may lack some, to whoever asks and also at a follower, until it has settled; then
+// everybody hears so, and a restart does not begin it again.
+func TestAListThatIsBegunAnewSettles(t *testing.T) {
+	cfg := testConfig(t)
+	cfg.Settle = 300 * time.Millisecond
+	a := start(t, cfg, listen(t, "127.0.0.1:0"))
+	list := func() string {
+		_, body := call(t, "GET", "http://"+a.addr+"/registry/instances", "")
+		return body
+	}
+	if got := list(); !strings.Contains(got, `"settling":true`) {
+		t.Errorf("at first: %s", got)
+	}
+	resp, err := http.Get("http://" + a.addr + "/registry/instances?watch=1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	var told []string
+	for lines.Scan() {
+		if told = append(told, lines.Text()); len(lines.Bytes()) > 1 && !strings.Contains(lines.Text(), "settling") {
+			break
+		}
+	}
+	if len(told) < 2 || !strings.Contains(told[0], "settling") {
+		t.Errorf("a watcher is told %q", told)
+	}
+	a = a.again()
+	if got := list(); strings.Contains(got, "settling") {
+		t.Errorf("after a restart: %s", got)
+	}
+}
+
+// Whoever begins is served at the server's rate; the others are told when to come, to the millisecond and each at another
+// time. Renewals and other servers pass.
+func TestAStartIsServedAtTheServersPace(t *testing.T) {
+	cfg := testConfig(t)
+	cfg.StartRate = 10
+	a := start(t, cfg, listen(t, "127.0.0.1:0"))
+	ask := func(query string) (int, http.Header) {
+		resp, err := http.Get("http://" + a.addr + "/registry/instances" + query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode, resp.Header
+	}
+	waits := map[string]bool{}
+	var turn string
+	for range 8 {
+		code, h := ask("?after=0")
+		if code == http.StatusServiceUnavailable {
+			waits[h.Get("Retry-After-Ms")] = true
+			turn = h.Get("Registry-Turn")
+			if h.Get("Retry-After") == "" || turn == "" {
+				t.Errorf("told %v", h)
+			}
+		}
+	}
+	if len(waits) < 5 {
+		t.Errorf("waits %v", waits)
+	}
+	if code, _ := ask("?watch=1&replica=1"); code != http.StatusOK {
+		t.Errorf("another server is told %d", code)
+	}
+	if code, body := call(t, "PUT", "http://"+a.addr+"/registry/instances/s-1",
+		`{"host_port":"127.0.0.1:6379","locality":"a","flavor":"m","cell":3,"owner":"s-1.1"}`); code != http.StatusOK {
+		t.Errorf("a registration is told %d %s", code, body)
+	}
+	if code, h := ask("?after=0&turn=" + turn); code != http.StatusServiceUnavailable || h.Get("Registry-Turn") != turn {
+		t.Errorf("a turn that comes too soon is told %d %v", code, h)
+	}
+	if _, text := call(t, "GET", "http://"+a.console+"/ops/stats", ""); !strings.Contains(text, "registry.turns_out:") {
+		t.Errorf("no turns in %s", text)
+	}
+}
