--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +13,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
 func serve(t *testing.T, h http.HandlerFunc) string {
@@ -73,3 +76,46 @@
 		}
 	})
 }
+
+// fixedTurns records what it is told.
+type fixedTurns struct{ told []time.Duration }
+
+func (f *fixedTurns) First() time.Duration              { return 0 }
+func (f *fixedTurns) Again(time.Duration) time.Duration { return time.Millisecond }
+func (f *fixedTurns) Told(wait time.Duration) (time.Duration, bool) {
+	f.told = append(f.told, wait)
+	return wait, wait > 0 && wait < time.Minute
+}
+
+// Who is told when to come asks the same server again then, with its turn; a wait without sense turns it to the next.
+func TestAWatcherComesWhenItIsTold(t *testing.T) {
+	var asks []string
+	var times []time.Time
+	answers := []string{"120", "", "x", "-5", "0", "99999999999999999999", "9223372036854775807"}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asks, times = append(asks, r.URL.RawQuery), append(times, time.Now())
+		if n := len(asks) - 1; n < len(answers) {
+			if answers[n] != "" {
+				w.Header().Set("Retry-After-Ms", answers[n])
+				w.Header().Set("Registry-Turn", "77")
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, `{"revision":3,"complete":true,"members":[]}`)
+	}))
+	defer srv.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	turns, later, turned, counted := &fixedTurns{}, 0, 0, 0
+	w := Watcher{
+		Log: slog.New(slog.DiscardHandler), Client: http.DefaultClient, At: NewAddresses([]string{srv.Listener.Addr().String()}), Turns: turns,
+		Begin: true, Asked: func() { counted++ }, Later: func() { later++ }, Turned: func() { turned++ }, Heard: func() {}, Tell: func(List) { cancel() },
+	}
+	w.Run(ctx, 0)
+	if len(asks) != len(answers)+1 || counted != len(asks) || later != 1 || turned != len(answers)-1 || len(turns.told) != 6 {
+		t.Fatalf("%d asks, %d counted, %d told, %d turned, %v", len(asks), counted, later, turned, turns.told)
+	}
+	if !strings.Contains(asks[1], "turn=77") || strings.Contains(asks[2], "turn") || times[1].Sub(times[0]) < 120*time.Millisecond {
+		t.Errorf("asks %q after %v", asks, times[1].Sub(times[0]))
+	}
+}
--- /dev/null
+++ b/internal/node/start_test.go
@@ -0,0 +1,165 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"harrierramp/internal/listwatch"
+	"harrierramp/internal/testkit"
+)
+
+// beginNode starts a node with a section registry, without waiting for anything.
+func beginNode(t *testing.T, state, section string) (addr, door string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	doorLn, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"limits":{"cores":1,"memory_mb":192,"sockets":256,"disk_mb":3},"registry":%s,"settings":%s}`,
+		ln.Addr(), section, testSettings)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := loadConfig(path, state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(cfg, slog.New(slog.NewTextHandler(t.Output(), nil)))
+	shut := n.ServeOperators(doorLn)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		shut()
+	})
+	return ln.Addr().String(), doorLn.Addr().String()
+}
+
+func keepListAt(t *testing.T, dir, partner string, revision int64) {
+	t.Helper()
+	k := listwatch.NewKept(dir, 1<<16)
+	l := listwatch.List{Revision: revision, Complete: true, Members: []listwatch.Member{
+		{ID: "p", Addr: partner, Locality: "z", Flavor: "m", Cell: 7, Phase: "SERVING", Size: 1000},
+	}}
+	if err := k.Write(l); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const nobody = "127.0.0.1:1"
+
+// What a node does while no list server answers: with a list that it has kept it serves, and fails nobody for what that
+// does not name; without one of use it takes nothing and says why.
+func TestAStartWithoutAListServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		keep, section, spoil string
+		why                  string // empty where it serves
+	}{
+		"nothing kept":     {"", `"keep":true`, "", "no list is kept"},
+		"kept":             {"yes", `"keep":true`, "", ""},
+		"kept, not read":   {"yes", `"keep":false`, "", "no list is kept"},
+		"kept too long":    {"yes", `"keep":true,"kept_most_ms":1`, "", "old"},
+		"kept for a while": {"yes", `"keep":true,"kept_after_ms":3600000`, "", "comes into force 1h"},
+		"comes into force": {"yes", `"keep":true,"kept_after_ms":50`, "", ""},
+		"cut":              {"yes", `"keep":true`, "cut", "no list is kept"},
+		"flipped":          {"yes", `"keep":true`, "flip", "no list is kept"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
+			dir := t.TempDir()
+			if c.keep != "" {
+				keepListAt(t, dir, p.Addr(), 5)
+			}
+			path := filepath.Join(dir, "list.json")
+			if c.spoil != "" {
+				raw, err := os.ReadFile(path)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if raw = raw[:len(raw)/2]; c.spoil == "flip" {
+					raw = []byte(strings.Replace(readAll(t, path), `"cell":7`, `"cell":9`, 1))
+				}
+				if err := os.WriteFile(path, raw, 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			addr, door := beginNode(t, dir, `{"addresses":["`+nobody+`"],`+c.section+`}`)
+			if c.why != "" {
+				time.Sleep(100 * time.Millisecond) // longer than a list that is kept for 50 ms takes
+				code, body := testkit.Operate(t, door, "GET", "/ops/readiness")
+				if code != 503 || !strings.Contains(body, c.why) || !strings.Contains(body, "since") {
+					t.Errorf("readiness: %d %s", code, body)
+				}
+				if got := testkit.Ask(t, addr, testkit.Resp("PING")); !strings.HasPrefix(got, "-LOADING waiting for the list") {
+					t.Errorf("PING: %s", got)
+				}
+			} else {
+				testkit.Eventually(t, "the node serves", func() bool { code, _ := testkit.Operate(t, door, "GET", "/ops/readiness"); return code == 204 })
+				mustAnswer(t, addr, testkit.Resp("PING"), "+PONG")
+				mustAnswer(t, addr, testkit.Enqueue("m1", ofStatus, "x"), "+OK")
+				if req := p.Next(t); req.Header.Get("X-Trace-Id") != "m1" {
+					t.Error("another message is delivered")
+				}
+			}
+			got := testkit.Ask(t, addr, testkit.Enqueue("m2", "c=status,d=50000,dest=8", "x"))
+			var ms int
+			if n, err := fmt.Sscanf(got, "-BUSY %d", &ms); n != 1 || err != nil || ms < 25 || ms > 6000 {
+				t.Errorf("for a destination that no list names: %q", got)
+			}
+		})
+	}
+}
+
+func readAll(t *testing.T, path string) string {
+	t.Helper()
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
+// With a server's list, what it does not name is unknown, and the figures tell how the start went. A kept list that is
+// ahead of every server is given up.
+func TestAStartWithAListServer(t *testing.T) {
+	p := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
+	r := newRegistry(t)
+	dir := t.TempDir()
+	keepListAt(t, dir, nobody, 1<<40)
+	addr, door := beginNode(t, dir, fmt.Sprintf(`{"addresses":[%q],"keep":true}`, r.addr()))
+	r.tell(listOf(5, true, serving("q", p.Addr(), 7, "SERVING")))
+	testkit.Eventually(t, "the server's list holds", func() bool {
+		_, text := testkit.Operate(t, door, "GET", "/ops/stats")
+		return strings.Contains(text, "router.list_revision:5|")
+	})
+	mustAnswer(t, addr, testkit.Enqueue("m1", ofStatus, "x"), "+OK")
+	p.Next(t)
+	mustAnswer(t, addr, testkit.Enqueue("m2", "c=status,d=50000,dest=8", "x"), "-ERR unknown destination")
+	testkit.Eventually(t, "the start is told", func() bool {
+		_, text := testkit.Operate(t, door, "GET", "/ops/stats")
+		return !strings.Contains(text, "router.start_list_ms:-1|") && !strings.Contains(text, "router.start_delivery_ms:-1|")
+	})
+}
