Let a sender without a keeper go on where nobody tells a limit

Cause: an allowance is a part of the limit, and where none is told that is nothing, so a node that hears no keeper never sends, though nothing binds it. Seen on the stage: 100 nodes, all datagrams lost, no weights: 89 of 500 messages delivered (those whose keeper is their own node), 411 handed back. Now an arrival allows one call there, and time what arrives of late; refusals cut it by half as ever, and it grows by its own size, lest a large fleet's growth add up to the limit. First guess, a call a second for each: 440 calls refused for 3 passed at a low limit in the test, dropped.

--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -157,8 +157,11 @@
 		}
 	}
 	kept := math.Exp(-seconds(s.now-c.heardAt) / seconds(allowanceFade))
-	arrival = c.allowed * kept * c.share
-	second *= c.allowed * (1 - kept)
+	if second > 0 {
+		arrival, second = c.allowed*kept*c.share, second*c.allowed*(1-kept)
+	} else { // nobody has told a limit: refusals alone bind
+		arrival, second = c.allowed, c.allowed*d.rate(s.now)
+	}
 	if c.failedAt > 0 && s.now-c.failedAt < s.cfg.WarmWithin { // it may have been down, and be back cold
 		arrival, second = arrival*s.cfg.ColdFrom, second*s.cfg.ColdFrom
 	}
@@ -176,7 +179,7 @@
 	}
 	passed := seconds(max(s.now-c.tokensAt, 0))
 	_, second := s.allowance(e.dest)
-	c.allowed = min(1, c.allowed+allowanceGrow*passed)
+	c.allowed = min(1, c.allowed+allowanceGrow*passed*max(c.allowed, 1/float64(s.cfg.Fleet)))
 	c.tokens = min(c.tokens+second*passed, max(c.tokens, 1))
 	c.tokensAt = max(c.tokensAt, s.now)
 	return c.tokens >= 1
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -267,6 +267,33 @@
 	}
 }
 
+// Nobody tells a limit and nobody hears anybody, from the first moment on: what a partner without a limit could take is
+// sent all the same, and one with a limit is not asked for many times what it takes.
+func TestADeafFleetWithoutToldLimitsGoesOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		senders            int
+		limit, least, most float64
+	}{
+		"40, no limit":   {40, 1000 * fleetLimit, 0.9, 1.1},
+		"40, a low one":  {40, fleetLimit / 2, 0.15, 1}, // a refused call uses it up as well
+		"300, no limit":  {300, 1000 * fleetLimit, 0.9, 1.1},
+		"300, a low one": {300, fleetLimit / 2, 0.01, 1}, // first calls alone are more than it takes
+	} {
+		w := newFleet(t, c.senders, true)
+		w.cfg.Weighted, w.lose, w.limit = false, 1, c.limit
+		for i := range w.senders {
+			w.start(i)
+		}
+		w.run(30*time.Second, fleetLimit)
+		w.run(11*time.Second, 0.001)
+		came := 30 * fleetLimit
+		t.Logf("%s: %d passed and %d refused of %.0f", name, w.passed, w.full, came)
+		if float64(w.passed) < c.least*came || float64(w.passed+w.full) > c.most*came {
+			t.Errorf("%s: %d calls passed and %d were refused, of %.0f messages", name, w.passed, w.full, came)
+		}
+	}
+}
+
 func TestAFleetTriesAStruckPartnerOnce(t *testing.T) {
 	w := newFleet(t, 40, true)
 	w.run(3*time.Second, fleetLimit)
