--- a/choice/account.go
+++ b/choice/account.go
@@ -136,12 +136,16 @@
 
 // fleet is the route as its keeper knows it, for the calls of all.
 func (s *Sender) fleet(e *endpoint) *route {
-	if e.route.fleet == nil {
+	fresh := e.route.fleet == nil
+	if fresh {
 		e.route.fleet = newRoute()
 		e.route.fleet.whole = true
 		e.route.fleet.part, e.route.fleet.partAt = s.beginAt(e.dest), s.now
 	}
 	e.route.fleet.weight = e.route.weight
+	if fresh {
+		s.begin(e, e.route.fleet)
+	}
 	return e.route.fleet
 }
 
@@ -160,6 +164,14 @@
 	}
 }
 
+// newSince is since when this sender has known a destination of which no keeper has ever told it; 0 if one has.
+func (s *Sender) newSince(c *claim) time.Duration {
+	if s.cfg.Cautious && c.heardAt == 0 {
+		return c.beganAt
+	}
+	return 0
+}
+
 // grantRate is how many calls a second the keeper granted of late.
 func (c *claim) grantRate(now time.Duration) float64 {
 	return c.got * math.Exp(-seconds(now-c.gotAt)/seconds(demandSpan)) / seconds(demandSpan)
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -162,7 +162,7 @@
 	} else { // nobody has told a limit: refusals alone bind
 		arrival, second = c.allowed, c.allowed*d.rate(s.now)
 	}
-	if c.failedAt > 0 && s.now-c.failedAt < s.cfg.WarmWithin { // it may have been down, and be back cold
+	if at := max(c.failedAt, s.newSince(c)); at > 0 && s.now-at < s.cfg.WarmWithin { // it may be back cold
 		arrival, second = arrival*s.cfg.ColdFrom, second*s.cfg.ColdFrom
 	}
 	return arrival, second
@@ -348,6 +348,13 @@
 	return best * (1 + foundGrow*seconds(s.now-r.cutAt))
 }
 
+// begin takes a route whose limit is told for cold where nothing is remembered of it: all may be starting, partners too.
+func (s *Sender) begin(e *endpoint, f *route) {
+	if s.cfg.Cautious && s.limit(f) > 0 && s.now-e.dest.claim.beganAt < s.cfg.WarmWithin {
+		s.cool(f)
+	}
+}
+
 // fleetStruck takes an outage that another sender has met while it heard no keeper, as the keeper: those who
 // come back all at once must not be granted what a cold destination can't do. Others who get through know
 // better.
--- a/choice/state.go
+++ b/choice/state.go
@@ -87,6 +87,7 @@
 	tokensAt   time.Duration
 	allowed    float64       // factor on it: refusals cut it
 	failedAt   time.Duration // last call that failed there, but for refusals
+	beganAt    time.Duration // the destination was first heard of
 }
 
 // grant is leave for one call.
@@ -220,7 +221,10 @@
 func (s *Sender) destination(id int) *destination {
 	d := s.dests[id]
 	if d == nil {
-		d = &destination{id: id, shared: newRoute(), claim: claim{allowed: 1}}
+		d = &destination{id: id, shared: newRoute(), claim: claim{allowed: 1, beganAt: s.now}}
+		if s.cfg.Cautious {
+			d.claim.tokensAt = s.now // not one call for each sender
+		}
 		s.dests[id] = d
 		s.order = append(s.order, d)
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -49,6 +49,7 @@
 	MayProbe       bool
 	MayCancel      bool
 	MayTell        bool // notes to other senders
+	Cautious       bool // nothing is remembered from before, and the partners may be as cold as this sender is
 	AskForList     bool // changes of the list come only on request
 	Halves         bool // worth halves with each further aim; otherwise it falls evenly
 	RoughWeights   bool // an endpoint's Weight may be half too high or too low
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,8 +55,9 @@
 // ListService is the section for the project's own list service. Its servers tell the same list, with revisions that
 // only rise, whichever of them is asked.
 type ListService struct {
-	Addresses []string `json:"addresses" toml:"addresses" check:"address" reload:"yes" doc:"of all its servers, in any order"`
-	Keep      bool     `json:"keep" toml:"keep" doc:"keep the last good list in the lasting folder"`
+	Addresses []string     `json:"addresses" toml:"addresses" check:"address" reload:"yes" doc:"of all its servers, in any order"`
+	Keep      bool         `json:"keep" toml:"keep" doc:"keep the last good list in the lasting folder"`
+	Beat      units.Millis `json:"beat_ms" toml:"beat" min:"0s" max:"2s" doc:"list servers are asked to say something so often, and doubted after three times that in silence; 0s for as they like"`
 	// What a start does with a kept list.
 	KeptAfter units.Millis `json:"kept_after_ms" toml:"kept_after" min:"0s" max:"1h" doc:"a start waits so long for a server's list before it serves on the kept one"`
 	KeptMost  units.Millis `json:"kept_most_ms" toml:"kept_most" min:"0s" max:"8760h" doc:"a kept list that is older is not served on; 0s for any age"`
--- a/internal/lab/cli/loopback.go
+++ b/internal/lab/cli/loopback.go
@@ -51,7 +51,7 @@
 			return nil
 		},
 	}
-	c.Flags().IntVar(&j.Nodes, "nodes", 3, "real nodes, 16 at most")
+	c.Flags().IntVar(&j.Nodes, "nodes", 3, "real nodes, 100 at most")
 	c.Flags().Uint64Var(&j.Seed, "seed", 1, "of the day and all chance in it")
 	c.Flags().DurationVar(&length, "length", 0, "of arrivals (default: the day's own, 24s)")
 	c.Flags().StringVar(&program, "program", "", "harrierramp (default: beside this program, else in PATH)")
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -1,7 +1,8 @@
 // Package loopback plays a day of the lab's model in real time, with real harrierramp processes on loopback sockets:
 // real kills, real journals, the list and notices by protocol. The partners, clients and troubles are the model's own.
-// It talks to 127.0.0.1 only, is bounded by the day, and ends the processes that it started and no others. Datagrams
-// between nodes go directly from one to the other; cut zones and deaf nodes are not played.
+// It talks to 127.0.0.0/8 only, is bounded by the day, and ends the processes that it started and no others. Between nodes,
+// and from nodes to endpoints, stand relays: zones that are cut off, machines that vanish and nodes that are deaf are
+// played there.
 package loopback
 
 import (
@@ -9,20 +10,23 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/backoff"
 	"harrierramp/internal/lab/judge"
 	"harrierramp/internal/lab/model"
+	"harrierramp/internal/lab/process"
+	"harrierramp/internal/lab/relay"
 )
 
 const (
-	// MaxNodes bounds a run: each node is a process, with an address of its own for each endpoint.
-	MaxNodes = 16
+	// MaxNodes bounds a run: each node is a process, and each of its connections takes three descriptors here.
+	MaxNodes = 100
 	// MaxLength bounds a run's arrivals.
 	MaxLength = 10 * time.Minute
 	readyWait = 15 * time.Second
@@ -42,6 +46,17 @@
 	day   *model.Day
 	nodes []*node
 	hands sync.WaitGroup
+
+	block  *process.Block
+	starts *process.Starter
+	net    *relay.Net
+	zones  map[relay.Party]int
+	parts  sync.WaitGroup
+
+	mu      sync.Mutex
+	sockets map[string]*socket // by endpoint
+	order   []relay.Party      // of the endpoints
+	wait    map[string]*relay.Rule
 }
 
 // Play plays a day and returns what the ledger says of it.
@@ -59,8 +74,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("loopback: %w", err)
 	}
+	block, err := process.HoldBlock()
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("loopback: %w", err), os.RemoveAll(dir))
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	r := &run{Options: o, ctx: ctx, day: &day}
+	r := &run{
+		Options: o, ctx: ctx, day: &day, block: block, starts: process.NewStarter(), zones: map[relay.Party]int{},
+		sockets: map[string]*socket{}, wait: map[string]*relay.Rule{},
+	}
+	r.net = relay.New(day.Seed, block.Who, func(relay.Event) {})
 	ledger := judge.New(&day)
 	var remotes []model.Remote
 	for i := range day.Nodes {
@@ -75,9 +98,13 @@
 	r.world = model.NewRemote(day, remotes, r, ledger)
 	err = r.ready()
 	if err == nil {
+		for _, t := range day.Troubles {
+			r.parts.Go(func() { r.impair(t) })
+		}
 		err = r.world.RunReal(ctx)
 	}
 	cancel()
+	r.parts.Wait()
 	r.hands.Wait()
 	err = errors.Join(err, r.close(), os.RemoveAll(dir))
 	if err != nil {
@@ -86,20 +113,27 @@
 	return ledger.Result(), nil
 }
 
-// ready opens the sockets of the partners, writes the configurations, starts the nodes and waits until they serve:
-// only then the day begins.
+// ready opens the ways and the sockets of the partners, writes the configurations, starts the nodes and waits until they
+// serve: only then the day begins.
 func (r *run) ready() error {
-	var peers []string
+	var parties []relay.Party
+	var faces, owns []string
 	for _, n := range r.nodes {
-		peers = append(peers, n.peerAddr)
+		parties = append(parties, n.self)
+		r.zones[n.self] = r.day.Nodes[n.n].Zone
+		faces = append(faces, process.At(r.block.Face(n.self), process.NotePort))
+		owns = append(owns, process.At(r.block.Own(n.self), process.NotePort))
 	}
-	for _, n := range r.nodes {
-		for _, e := range r.world.List() {
-			if err := n.open(e); err != nil {
-				return err
-			}
+	if err := r.net.UDP(parties, faces, owns); err != nil {
+		return err
+	}
+	for _, e := range r.world.List() {
+		if err := r.open(e); err != nil {
+			return err
 		}
-		if err := n.configure(peers); err != nil {
+	}
+	for _, n := range r.nodes {
+		if err := n.configure(faces); err != nil {
 			return err
 		}
 		n.Begin()
@@ -114,41 +148,117 @@
 	return nil
 }
 
+// open opens the socket of an endpoint and its face, and tells all nodes of it.
+func (r *run) open(e model.Listed) error {
+	r.mu.Lock()
+	p := relay.Party{Kind: relay.Partner, N: len(r.order)}
+	r.order = append(r.order, p)
+	r.zones[p] = e.Zone
+	r.mu.Unlock()
+	own, face := process.At(r.block.Own(p), process.CallPort), process.At(r.block.Face(p), process.CallPort)
+	s, err := newSocket(r, p, e.Endpoint, own)
+	if err != nil {
+		return err
+	}
+	s.face = face
+	r.mu.Lock()
+	r.sockets[e.Endpoint] = s
+	r.mu.Unlock()
+	if err := r.net.TCP(face, p, own); err != nil {
+		return err
+	}
+	for _, n := range r.nodes {
+		n.set(e)
+	}
+	return nil
+}
+
+func (r *run) socket(endpoint string) *socket {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sockets[endpoint]
+}
+
 func (r *run) close() error {
 	var errs []error
 	for _, n := range r.nodes {
 		errs = append(errs, n.close())
 	}
-	return errors.Join(errs...)
+	r.net.Close()
+	for _, s := range r.sockets {
+		s.close()
+	}
+	r.starts.Close()
+	return errors.Join(append(errs, r.block.Free())...)
 }
 
-// Struck opens and shuts an endpoint's sockets. (model.Sockets)
+// impair plays the troubles of the network that the model leaves to the ways.
+func (r *run) impair(t model.Trouble) {
+	if t.Kind != model.CutZone && t.Kind != model.Deaf || !backoff.Sleep(r.ctx, t.At) {
+		return
+	}
+	from, to := relay.Set{}, relay.Set{}
+	var rules []*relay.Rule
+	r.mu.Lock()
+	for p, zone := range r.zones {
+		if t.Kind == model.CutZone && zone == t.Zone {
+			from[p] = true
+		} else if t.Kind == model.CutZone {
+			to[p] = true
+		} else if p.Kind == relay.Node {
+			from[p] = true
+			to[p] = len(t.Nodes) == 0 || slices.Contains(t.Nodes, p.N)
+		}
+	}
+	r.mu.Unlock()
+	rules = append(rules, r.net.Impair(from, to, relay.Fault{Vanish: true}))
+	if t.Kind == model.CutZone {
+		rules = append(rules, r.net.Impair(to, from, relay.Fault{Vanish: true}))
+	}
+	backoff.Sleep(r.ctx, t.Len)
+	for _, rule := range rules {
+		r.net.Lift(rule)
+	}
+}
+
+// Struck takes an endpoint's machine away or its process down, and back. (model.Sockets)
 func (r *run) Struck(endpoint, kind string, down bool) {
-	if kind != model.Crash {
+	s := r.socket(endpoint)
+	if s == nil {
 		return
 	}
-	for _, n := range r.nodes {
-		n.sockets[endpoint].refuse(down)
+	switch kind {
+	case model.Crash:
+		s.refuse(down)
+		if err := r.net.Down(s.party, down); err != nil {
+			fmt.Fprintf(r.Log, "loopback: endpoint %s: %v\n", endpoint, err)
+		}
+	case model.Vanish:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if rule := r.wait[endpoint]; rule != nil {
+			r.net.Lift(rule)
+			delete(r.wait, endpoint)
+		}
+		if down {
+			from := relay.Set{}
+			for _, n := range r.nodes {
+				from[n.self] = true
+			}
+			r.wait[endpoint] = r.net.Impair(from, relay.Set{s.party: true}, relay.Fault{Vanish: true})
+		}
 	}
 }
 
-// Opened opens the sockets of a new endpoint. (model.Sockets)
+// Opened opens the socket of a new endpoint. (model.Sockets)
 func (r *run) Opened(endpoint string) {
 	for _, e := range r.world.List() {
-		if e.Endpoint != endpoint {
-			continue
-		}
-		for _, n := range r.nodes {
-			if n.sockets[endpoint] == nil {
-				if err := n.open(e); err != nil {
-					fmt.Fprintf(r.Log, "loopback: %v\n", err)
-				}
+		if e.Endpoint == endpoint && r.socket(endpoint) == nil {
+			if err := r.open(e); err != nil {
+				fmt.Fprintf(r.Log, "loopback: %v\n", err)
 			}
 		}
 	}
 }
 
-// listen opens a free port of loopback.
-func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
-
 var phases = map[choice.Phase]string{choice.Ready: "SERVING", choice.Draining: "DRAINING", choice.Gone: "DELETED"}
--- a/internal/lab/loopback/node.go
+++ b/internal/lab/loopback/node.go
@@ -5,21 +5,20 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"harrierramp/choice"
 	"harrierramp/internal/client"
 	"harrierramp/internal/lab/model"
+	"harrierramp/internal/lab/process"
+	"harrierramp/internal/lab/relay"
 	"harrierramp/internal/listwatch"
 )
 
@@ -29,44 +28,38 @@
 type node struct {
 	r        *run
 	n        int
+	self     relay.Party
 	dir      string
 	addr     string
-	peerAddr string
 	platform http.Server
 	front    net.Listener
-	sockets  map[string]*socket
+	process  process.Process
 	clients  chan *client.Client
 	log      sync.WaitGroup
 
 	mu       sync.Mutex
-	cmd      *exec.Cmd
-	dead     chan struct{} // closed when the process has ended
 	revision int64
 	members  map[string]listwatch.Member
 	watchers map[chan []byte]bool
 }
 
 func newNode(r *run, n int, dir string) (*node, error) {
-	if err := os.MkdirAll(filepath.Join(dir, "state"), 0o700); err != nil {
+	state := filepath.Join(dir, "state")
+	if err := os.MkdirAll(state, 0o700); err != nil {
 		return nil, err
 	}
-	ln, err := listen() // a port for the process, free again at once
-	if err != nil {
-		return nil, err
-	}
-	defer ln.Close()
-	peer, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	defer peer.Close()
-	front, err := listen()
+	self := relay.Party{Kind: relay.Node, N: n}
+	front, err := net.Listen("tcp4", process.At(r.block.Own(self), process.AgentPort))
 	if err != nil {
 		return nil, err
 	}
 	x := &node{
-		r: r, n: n, dir: dir, addr: ln.Addr().String(), peerAddr: peer.LocalAddr().String(), front: front, sockets: map[string]*socket{},
+		r: r, n: n, self: self, dir: dir, addr: process.At(r.block.Own(self), process.ClientPort), front: front,
 		clients: make(chan *client.Client, maxClients), revision: 1, members: map[string]listwatch.Member{}, watchers: map[chan []byte]bool{},
+		process: process.Process{
+			Name: self.String(), Starter: r.starts, Program: r.Program, State: state, Log: filepath.Join(dir, "log"),
+			Env: []string{"ROUTER_CONFIG=" + filepath.Join(dir, "config.json"), "ROUTER_STATE=" + state},
+		},
 	}
 	for range maxClients {
 		x.clients <- client.New(x.addr, client.Patience)
@@ -79,23 +72,16 @@
 	return x, nil
 }
 
-// open opens the node's own socket to an endpoint.
-func (x *node) open(e model.Listed) error {
-	s, err := newSocket(x.r, x, e.Endpoint)
-	if err != nil {
-		return err
-	}
-	x.sockets[e.Endpoint] = s
-	x.set(e)
-	return nil
-}
-
 // set changes the list as this node sees it, and tells its watchers.
 func (x *node) set(e model.Listed) {
+	socket := x.r.socket(e.Endpoint)
+	if socket == nil {
+		return // it could not be opened, which has been told
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	m := listwatch.Member{
-		ID: e.Endpoint, Addr: x.sockets[e.Endpoint].addr, Locality: fmt.Sprint("z", e.Zone), Flavor: fmt.Sprint("k", e.Kind), Cell: e.Dest,
+		ID: e.Endpoint, Addr: socket.face, Locality: fmt.Sprint("z", e.Zone), Flavor: fmt.Sprint("k", e.Kind), Cell: e.Dest,
 		Phase: phases[e.Phase], Size: e.Weight,
 	}
 	x.revision++
@@ -187,9 +173,9 @@
 	known := x.whole()
 	x.mu.Unlock()
 	raw, err := json.Marshal(map[string]any{
-		"name": fmt.Sprint("n", x.n), "listen": x.addr, "discovery": x.front.Addr().String(), "seed": fmt.Sprintf("%x", x.r.day.Seed+uint64(x.n)),
+		"name": fmt.Sprint("n", x.n), "listen": x.addr, "discovery": x.front.Addr().String(), "source": x.r.block.Own(x.self).String(), "seed": fmt.Sprintf("%x", x.r.day.Seed+uint64(x.n)),
 		"limits":      map[string]any{"cores": 1, "memory_mb": 128, "sockets": 1024, "disk_mb": 3},
-		"peer_listen": x.peerAddr, "peers": peers, "known": known, "settings": settings(x.r.day, x.n),
+		"peer_listen": process.At(x.r.block.Own(x.self), process.NotePort), "peers": peers, "known": known, "settings": settings(x.r.day, x.n),
 	})
 	if err != nil {
 		return err
@@ -243,55 +229,19 @@
 func tenantName(i int) string { return fmt.Sprint("t", i) }
 
 // Begin starts the process, if it does not run. (model.Remote)
-func (x *node) Begin() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.cmd != nil {
-		return
-	}
-	cmd := exec.Command(x.r.Program)
-	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+filepath.Join(x.dir, "config.json"), "ROUTER_STATE="+filepath.Join(x.dir, "state"), "ROUTER_CONSOLE=")
-	pipe, err := cmd.StderrPipe()
-	if err == nil {
-		err = cmd.Start()
-	}
-	if err != nil {
-		fmt.Fprintf(x.r.Log, "loopback: node %d: %v\n", x.n, err)
-		return
-	}
-	x.cmd, x.dead = cmd, make(chan struct{})
-	dead := x.dead
-	x.log.Go(func() {
-		io.Copy(x.r.Log, pipe)
-		cmd.Wait() // its error says that it was killed
-		close(dead)
-	})
-}
-
-// signal sends the process a signal; after a kill it is waited for.
-func (x *node) signal(s os.Signal) {
-	x.mu.Lock()
-	cmd, dead := x.cmd, x.dead
-	if s == os.Kill {
-		x.cmd = nil
-	}
-	x.mu.Unlock()
-	if cmd == nil {
-		return
-	}
-	if err := cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		fmt.Fprintf(x.r.Log, "loopback: node %d: %v\n", x.n, err)
-	}
-	if s == os.Kill {
-		<-dead
-	}
-}
+func (x *node) Begin() { x.failed(x.process.Start()) }
 
 // Die kills the process. (model.Remote)
-func (x *node) Die() { x.signal(os.Kill) }
+func (x *node) Die() { x.failed(x.process.Kill()) }
 
 // Leave tells it to end. (model.Remote)
-func (x *node) Leave() { x.signal(syscall.SIGTERM) }
+func (x *node) Leave() { x.failed(x.process.Leave()) }
+
+func (x *node) failed(err error) {
+	if err != nil {
+		fmt.Fprintf(x.r.Log, "loopback: %v\n", err)
+	}
+}
 
 // Listed tells it of a change of the list. (model.Remote)
 func (x *node) Listed(e model.Listed) { x.set(e) }
@@ -330,13 +280,13 @@
 }
 
 func (x *node) close() error {
-	x.signal(os.Kill)
+	x.Die()
+	if raw, err := os.ReadFile(x.process.Log); err == nil { // one that never ran has none
+		x.r.Log.Write(raw)
+	}
 	for range maxClients {
 		(<-x.clients).Close()
 	}
-	for _, s := range x.sockets {
-		s.close()
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	err := x.platform.Shutdown(ctx)
--- a/internal/lab/loopback/socket.go
+++ b/internal/lab/loopback/socket.go
@@ -12,6 +12,7 @@
 
 	"harrierramp/choice"
 	"harrierramp/internal/lab/model"
+	"harrierramp/internal/lab/relay"
 )
 
 const (
@@ -19,12 +20,13 @@
 	callPause = 60 * time.Second // the longest that anything stands on a socket
 )
 
-// socket is an endpoint as one node reaches it.
+// socket is an endpoint, behind its face.
 type socket struct {
 	r        *run
-	n        *node
+	party    relay.Party
 	endpoint string
 	addr     string
+	face     string // where nodes reach it
 
 	mu    sync.Mutex
 	ln    net.Listener
@@ -33,12 +35,12 @@
 	wg    sync.WaitGroup
 }
 
-func newSocket(r *run, n *node, endpoint string) (*socket, error) {
-	ln, err := listen()
+func newSocket(r *run, party relay.Party, endpoint, addr string) (*socket, error) {
+	ln, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
-	s := &socket{r: r, n: n, endpoint: endpoint, addr: ln.Addr().String(), ln: ln, conns: map[net.Conn]bool{}}
+	s := &socket{r: r, party: party, endpoint: endpoint, addr: addr, ln: ln, conns: map[net.Conn]bool{}}
 	s.wg.Go(func() { s.accept(ln) })
 	return s, nil
 }
@@ -69,9 +71,6 @@
 
 // refuse closes the socket and all connections on it, as a process does that dies, or opens it again.
 func (s *socket) refuse(down bool) {
-	if s == nil {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if down {
@@ -84,7 +83,7 @@
 	if s.shut {
 		return
 	}
-	ln, err := net.Listen("tcp", s.addr)
+	ln, err := net.Listen("tcp4", s.addr)
 	if err != nil {
 		fmt.Fprintf(s.r.Log, "loopback: endpoint %s: %v\n", s.endpoint, err)
 		return
@@ -112,6 +111,10 @@
 // converse answers calls on one connection, as the model's endpoint says.
 func (s *socket) converse(nc net.Conn) {
 	br := bufio.NewReader(nc)
+	from, ok := s.r.block.Who(nc.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap())
+	if !ok || from.Kind != relay.Node {
+		return
+	}
 	for {
 		if nc.SetDeadline(time.Now().Add(callPause)) != nil {
 			return
@@ -126,7 +129,7 @@
 		id := req.Header.Get("X-Trace-Id")
 		answers := make(chan outcome, 1)
 		s.r.world.Do(s.r.ctx, func() {
-			s.r.world.Call(s.n.n, s.endpoint, id, func(o choice.Outcome, wait time.Duration) { answers <- outcome{o, wait} })
+			s.r.world.Call(from.N, s.endpoint, id, func(o choice.Outcome, wait time.Duration) { answers <- outcome{o, wait} })
 		})
 		// The node gives a call up by closing its connection.
 		gone := make(chan struct{})
@@ -142,7 +145,7 @@
 			nc.SetReadDeadline(time.Unix(1, 0))
 			<-gone
 		case <-gone:
-			s.r.world.Do(s.r.ctx, func() { s.r.world.Gone(s.n.n, id) })
+			s.r.world.Do(s.r.ctx, func() { s.r.world.Gone(from.N, id) })
 			return
 		case <-s.r.ctx.Done():
 			return
--- a/internal/lab/relay/fault.go
+++ b/internal/lab/relay/fault.go
@@ -42,6 +42,9 @@
 	// Cut passes nothing, without a word: connections stay open, and what is sent on them arrives once it is healed.
 	// Datagrams are lost.
 	Cut bool
+	// Vanish is a Cut at whose end the connections that were held in it are reset: the machine is back, and knows nothing
+	// of them.
+	Vanish bool
 	// Refuse closes new connections at once. It counts on the way from who connects.
 	Refuse bool
 	// Reset is the share of new connections, from 0 to 1, that are reset at a moment within ResetWithin. It counts on
@@ -90,7 +93,7 @@
 		return min(a, b)
 	}
 	return Fault{
-		Cut: f.Cut || o.Cut, Refuse: f.Refuse || o.Refuse,
+		Cut: f.Cut || o.Cut, Vanish: f.Vanish || o.Vanish, Refuse: f.Refuse || o.Refuse,
 		Reset: max(f.Reset, o.Reset), ResetWithin: max(f.ResetWithin, o.ResetWithin),
 		Delay: f.Delay + o.Delay, Jitter: f.Jitter + o.Jitter,
 		Rate: least(f.Rate, o.Rate), StopAfter: least(f.StopAfter, o.StopAfter),
@@ -130,6 +133,7 @@
 	changed chan struct{} // closed when the rules change
 	closers []func()
 	late    int // datagrams on their way
+	faces   map[Party]*face
 	closed  bool
 	over    chan struct{} // closed with the Net
 	wg      sync.WaitGroup
@@ -144,7 +148,7 @@
 // New makes a Net without a socket. who names the party of an address; tell hears what passes, from many goroutines,
 // and must not wait. Chance is drawn from the seed.
 func New(seed uint64, who func(netip.Addr) (Party, bool), tell func(Event)) *Net {
-	return &Net{who: who, tell: tell, rng: rand.New(rand.NewPCG(seed, 0x57a6e)), changed: make(chan struct{}), over: make(chan struct{})}
+	return &Net{who: who, tell: tell, rng: rand.New(rand.NewPCG(seed, 0x57a6e)), changed: make(chan struct{}), over: make(chan struct{}), faces: map[Party]*face{}}
 }
 
 // Impair puts a fault on the ways from each of the one set to each of the other, until Lift.
@@ -170,6 +174,9 @@
 	n.changed = make(chan struct{})
 }
 
+// holds tells that nothing passes.
+func (f Fault) holds() bool { return f.Cut || f.Vanish }
+
 // fault is what is wrong with a way now, and a channel that closes when that may have changed.
 func (n *Net) fault(from, to Party) (Fault, <-chan struct{}) {
 	n.mu.Lock()
--- a/internal/lab/relay/relay_test.go
+++ b/internal/lab/relay/relay_test.go
@@ -87,13 +87,21 @@
 // dial connects as the near party.
 func (b *bench) dial() *net.TCPConn {
 	b.t.Helper()
+	nc, err := b.tryDial()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return nc
+}
+
+func (b *bench) tryDial() (*net.TCPConn, error) {
 	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
 	nc, err := d.Dial("tcp4", b.face)
 	if err != nil {
-		b.t.Fatal(err)
+		return nil, err
 	}
 	b.t.Cleanup(func() { nc.Close() })
-	return nc.(*net.TCPConn)
+	return nc.(*net.TCPConn), nil
 }
 
 // say sends a line and waits so long for it to come back.
@@ -150,6 +158,36 @@
 	}
 }
 
+// A machine that was away knows nothing of what was sent to it meanwhile; one whose process is gone refuses.
+func TestAMachineThatWasAway(t *testing.T) {
+	b := newBench(t, 1)
+	nc := b.dial()
+	if _, err := say(nc, "before", patience); err != nil {
+		t.Fatal(err)
+	}
+	lift := both(b, Fault{Vanish: true})
+	if got, err := say(nc, "in it", 100*time.Millisecond); err == nil {
+		t.Fatalf("%q comes through", got)
+	}
+	lift()
+	nc.SetReadDeadline(time.Now().Add(patience))
+	if _, err := nc.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("after it: %v", err)
+	}
+	if err := b.net.Down(far, true); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := net.Dial("tcp4", b.face); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("while it is down: %v", err)
+	}
+	if err := b.net.Down(far, false); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := say(b.dial(), "x", patience); err != nil {
+		t.Errorf("when it is up again: %v", err)
+	}
+}
+
 // Who gives a connection up while it is cut is never connected.
 func TestAConnectionGivenUpInACutIsNeverMade(t *testing.T) {
 	b := newBench(t, 1)
@@ -186,13 +224,16 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, 1)
 			both(b, c.fault)
-			nc := b.dial()
 			began := time.Now()
 			wait := c.most
 			if wait == 0 {
 				wait = 150 * time.Millisecond
 			}
-			got, err := say(nc, c.text, wait)
+			got := ""
+			nc, err := b.tryDial() // a reset may be there before the dial is over
+			if err == nil {
+				got, err = say(nc, c.text, wait)
+			}
 			took := time.Since(began)
 			switch {
 			case c.fails != nil:
--- a/internal/lab/relay/tcp.go
+++ b/internal/lab/relay/tcp.go
@@ -16,23 +16,73 @@
 	dialWait    = 2 * time.Second
 )
 
+// face is where a party is reached. It is bound while the party is up.
+type face struct {
+	at     *net.TCPAddr
+	to     Party
+	target string
+	ln     *net.TCPListener // nil while the party is down
+}
+
 // TCP opens a face: who connects there reaches the party at the target, by the faults of the ways between them. The
-// face is bound before TCP returns, and held until Close.
-func (n *Net) TCP(face string, to Party, target string) error {
+// face is bound before TCP returns, and held until Close, or while Down.
+func (n *Net) TCP(addr string, to Party, target string) error {
 	if _, err := loopback(target); err != nil {
 		return err
 	}
-	at, err := loopback(face)
+	at, err := loopback(addr)
 	if err != nil {
 		return err
 	}
-	ln, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(at))
-	if err != nil {
-		return fmt.Errorf("relay: %w", err)
+	f := &face{at: net.TCPAddrFromAddrPort(at), to: to, target: target}
+	if err := n.open(f); err != nil {
+		return err
 	}
-	if !n.keep(func() { ln.Close() }) {
+	if !n.keep(func() { n.shut(f) }) {
 		return net.ErrClosed
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faces[to] = f
+	return nil
+}
+
+// Down has a party's face refuse connections, as the machine of a process that is gone does, or take them again.
+func (n *Net) Down(p Party, down bool) error {
+	n.mu.Lock()
+	f := n.faces[p]
+	n.mu.Unlock()
+	if f == nil {
+		return fmt.Errorf("relay: %s has no face", p)
+	}
+	if down {
+		n.shut(f)
+		return nil
+	}
+	return n.open(f)
+}
+
+func (n *Net) shut(f *face) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if f.ln != nil {
+		f.ln.Close()
+		f.ln = nil
+	}
+}
+
+// open binds a face, if it is not, and accepts there.
+func (n *Net) open(f *face) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if f.ln != nil || n.closed {
+		return nil
+	}
+	ln, err := net.ListenTCP("tcp4", f.at)
+	if err != nil {
+		return fmt.Errorf("relay: %w", err)
+	}
+	f.ln = ln
 	n.wg.Go(func() {
 		for {
 			nc, err := ln.AcceptTCP()
@@ -43,7 +93,7 @@
 				time.Sleep(10 * time.Millisecond)
 				continue
 			}
-			n.wg.Go(func() { n.converse(nc, to, target) })
+			n.wg.Go(func() { n.converse(nc, f.to, f.target) })
 		}
 	})
 	return nil
@@ -111,7 +161,7 @@
 			l.end(true)
 		}
 	})
-	if !n.open(l, from, to) { // the first packet does not arrive
+	if !n.reach(l, from, to) { // the first packet does not arrive
 		return
 	}
 	d := net.Dialer{Timeout: dialWait, LocalAddr: &net.TCPAddr{IP: net.IP(source.AsSlice())}}
@@ -138,12 +188,15 @@
 	ways.Wait()
 }
 
-// open waits while the way to the other party is cut, and tells whether the connection is still wanted.
-func (n *Net) open(l *link, from, to Party) bool {
-	for {
+// reach waits while the way to the other party is cut, and tells whether the connection is still wanted.
+func (n *Net) reach(l *link, from, to Party) bool {
+	for vanished := false; ; {
 		f, changed := n.fault(from, to)
-		if !f.Cut {
-			return true
+		if vanished = vanished || f.Vanish; !f.holds() {
+			if vanished {
+				l.end(true)
+			}
+			return !vanished
 		}
 		if gone(l.near, l.gone, changed) {
 			return false
@@ -237,13 +290,18 @@
 	if !rest(l, time.Until(c.due)) {
 		return false
 	}
+	vanished := false
 	for text := c.text; len(text) > 0; {
 		f, changed := n.fault(from, to)
+		if vanished && !f.holds() {
+			return false
+		}
 		room := len(text)
 		if f.StopAfter > 0 {
 			room = min(room, f.StopAfter-*passed)
 		}
-		if f.Cut || room <= 0 {
+		if f.holds() || room <= 0 {
+			vanished = vanished || f.Vanish
 			select {
 			case <-changed:
 				continue
@@ -270,16 +328,17 @@
 	// An end is held like anything else.
 	for {
 		f, changed := n.fault(from, to)
-		if !f.Cut && (f.StopAfter == 0 || *passed < f.StopAfter) {
+		if !f.holds() && (f.StopAfter == 0 || *passed < f.StopAfter) {
 			break
 		}
+		vanished = vanished || f.Vanish
 		select {
 		case <-changed:
 		case <-l.gone:
 			return false
 		}
 	}
-	if c.reset {
+	if c.reset || vanished {
 		return false
 	}
 	return dst.CloseWrite() == nil
--- a/internal/lab/relay/udp.go
+++ b/internal/lab/relay/udp.go
@@ -64,7 +64,7 @@
 // datagram passes one on, or not.
 func (n *Net) datagram(face *net.UDPConn, target netip.AddrPort, from, to Party, text []byte) {
 	f, _ := n.fault(from, to)
-	if f.Cut || n.chance(f.Lose) {
+	if f.holds() || n.chance(f.Lose) {
 		n.tell(Event{What: Lost, From: from, To: to, Bytes: len(text)})
 		return
 	}
@@ -96,7 +96,7 @@
 			n.mu.Lock()
 			n.late--
 			n.mu.Unlock()
-			if f, _ := n.fault(from, to); !f.Cut {
+			if f, _ := n.fault(from, to); !f.holds() {
 				n.deliver(face, target, from, to, kept)
 			}
 		})
--- /dev/null
+++ b/internal/lab/stage/judge_test.go
@@ -0,0 +1,195 @@
+package stage
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const faultEnv = "TEST_FAULTY_NODE"
+
+// faultyNode is a node that takes messages and gets one thing wrong. It reads where it is from the configuration that
+// the stage writes, and the list from the list server.
+func faultyNode(args []string) int {
+	raw, err := os.ReadFile(args[2]) // serve --config FILE
+	if err != nil {
+		return 1
+	}
+	var cfg struct {
+		Listen, Source string
+		Registry       struct{ Addresses []string }
+	}
+	if json.Unmarshal(raw, &cfg) != nil {
+		return 1
+	}
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(cfg.Source)}}
+	hc := &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 100}}
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGTERM)
+	list := func() (addrs []string) {
+		resp, err := hc.Get("http://" + cfg.Registry.Addresses[0] + "/registry/instances")
+		if err != nil {
+			return nil
+		}
+		defer resp.Body.Close()
+		var l struct {
+			Members []struct {
+				Addr string `json:"host_port"`
+			}
+		}
+		json.NewDecoder(resp.Body).Decode(&l) // no list is an empty one
+		for _, m := range l.Members {
+			addrs = append(addrs, m.Addr)
+		}
+		return addrs
+	}
+	var known []string
+	for known = list(); len(known) == 0; known = list() {
+		time.Sleep(20 * time.Millisecond)
+	}
+	call := func(addr, id string) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/v1/messages", strings.NewReader("x"))
+		if err != nil {
+			return
+		}
+		req.Header.Set("X-Trace-Id", id)
+		if resp, err := hc.Do(req); err == nil {
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	}
+	tell := func(id, state string) {
+		resp, err := hc.Post("http://"+cfg.Registry.Addresses[0]+"/reports", "application/json", strings.NewReader(fmt.Sprintf(`{"id":%q,"state":%q}`+"\n", id, state)))
+		if err == nil {
+			resp.Body.Close()
+		}
+	}
+	var taken atomic.Int64
+	fault := os.Getenv(faultEnv)
+	wrong := func(id string) {
+		switch addr := known[0]; fault {
+		case "loses":
+		case "copies":
+			go call(addr, id)
+			time.Sleep(150 * time.Millisecond)
+			call(addr, id)
+		case "repeats":
+			call(addr, id)
+			call(addr, id)
+		case "invents":
+			call(addr, "nobody-handed-this-in")
+			call(addr, id)
+		case "ends late":
+			time.Sleep(1800 * time.Millisecond)
+			tell(id, "returned")
+		case "goes on": // at an endpoint that it has known from the start
+			call(addr, id)
+			for range 20 {
+				time.Sleep(200 * time.Millisecond)
+				call(addr, id)
+			}
+		case "crashes":
+			os.Exit(3)
+		default:
+			call(addr, id)
+		}
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return 1
+	}
+	go func() {
+		<-end
+		os.Exit(0)
+	}()
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			return 1
+		}
+		go func() {
+			defer nc.Close()
+			r := bufio.NewReader(nc)
+			for {
+				line, err := r.ReadString('\n')
+				if err != nil {
+					return
+				}
+				var words int
+				fmt.Sscanf(line, "*%d", &words)
+				var args []string
+				for range words {
+					r.ReadString('\n')
+					w, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					args = append(args, strings.TrimSpace(w))
+				}
+				if len(args) == 1 {
+					io.WriteString(nc, "+PONG\r\n")
+					continue
+				}
+				io.WriteString(nc, "+OK\r\n")
+				taken.Add(1)
+				go wrong(args[2])
+			}
+		}()
+	}
+}
+
+// The stage judges truly: each rule that a faulty node breaks on purpose is named, and a node that breaks none is not
+// accused.
+func TestTheStageSaysWhatIsWrong(t *testing.T) {
+	const text = `
+name = "judged"
+seed = 1
+nodes = 1
+for = "1s"
+[start]
+nodes = "300ms"
+[traffic]
+burst = 3
+life = "1s"
+unsafe = 1.0
+[[destination]]
+latency = "300ms"
+`
+	for fault, want := range map[string]string{
+		"": "", "loses": "no final answer", "copies": "copies", "repeats": "repeat", "invents": "nobody has handed in",
+		"ends late": "late", "crashes": "crash", "goes on": "",
+	} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			s := script(t, text)
+			if fault == "goes on" {
+				s.Acts = []Act{{At: 1000, Who: "partners:0", Do: "withdraw"}}
+				s.For = 4500
+			}
+			r, err := Play(t.Context(), s, Options{Program: os.Args[0], Env: []string{childEnv + "=1", faultEnv + "=" + fault}})
+			if err != nil && fault != "crashes" {
+				t.Fatal(err)
+			}
+			rules := strings.Join(r.Broken, "\n")
+			if (want == "") != (r.Figures["broken"] == 0) && fault != "goes on" || !strings.Contains(rules, want) {
+				t.Errorf("it says %q, and %q is broken", rules, want)
+			}
+			if late := r.Figures["late_calls"]; (late > 0) != (fault == "goes on") {
+				t.Errorf("%v calls at an endpoint after it was withdrawn", late)
+			}
+			if fault == "goes on" && (len(r.Late) != 1 || r.Late[0].Node != 0 || r.Figures["last_late_call"] < 1) {
+				t.Errorf("%+v, the last after %v s", r.Late, r.Figures["last_late_call"])
+			}
+		})
+	}
+}
--- a/internal/lab/stage/ledger.go
+++ b/internal/lab/stage/ledger.go
@@ -19,6 +19,7 @@
 	binSize   = 100 * time.Millisecond
 	maxBins   = int((2*MaxFor + 5*time.Minute) / binSize)
 	copySlack = 100 * time.Millisecond // the end of a call that its node has given up may reach a partner so late
+	earlySpan = 5 * time.Second        // a start
 	lateSlack = 50 * time.Millisecond
 )
 
@@ -100,6 +101,9 @@
 	id        string
 	dest      int
 	conns     int
+	open      int
+	mostOpen  int
+	mostEarly int // of those, in the first earlySpan of the play
 	calls     int
 	hungUp    int
 	refused   int
@@ -350,7 +354,14 @@
 	case partner.Connected:
 		b.Conns++
 		e.conns++
+		e.open++
+		e.mostOpen = max(e.mostOpen, e.open)
+		if at < l.script.Start.Nodes.Duration()+earlySpan {
+			e.mostEarly = max(e.mostEarly, e.open)
+		}
 		n.conns[i]++
+	case partner.Closed:
+		e.open--
 	case partner.HungUp:
 		b.HungUp++
 		e.hungUp++
--- a/internal/lab/stage/play.go
+++ b/internal/lab/stage/play.go
@@ -17,6 +17,7 @@
 
 	"harrierramp/internal/client"
 	"harrierramp/internal/lab/model"
+	"harrierramp/internal/lab/process"
 	"harrierramp/internal/lab/relay"
 )
 
@@ -52,10 +53,74 @@
 	marks := slices.Clone(st.marks)
 	st.mu.Unlock()
 	r := st.ledger.report(marks)
+	if st.script.Node.Door {
+		r.Figures["stale_nodes"] = float64(st.stale())
+	}
+	for i, p := range st.lists {
+		cost, err := p.Cost()
+		if err != nil {
+			continue // it does not run
+		}
+		name := fmt.Sprintf("server%d_", i)
+		r.Figures[name+"cpu_s"], r.Figures[name+"mb"] = cost.CPU.Seconds(), float64(cost.MostMemory)/(1<<20)
+	}
 	r.hold(&st.script)
 	return r
 }
 
+const staleWait = 10 * time.Second // after the traffic, for every node to have the newest list
+
+// stale is how many nodes don't have the newest revision of the list some time after all is over.
+func (st *Stage) stale() (behind int) {
+	for end := time.Now().Add(staleWait); ; time.Sleep(50 * time.Millisecond) {
+		var newest int64
+		for i := range st.lists {
+			newest = max(newest, figureAt("http://"+st.ops(i)+"/ops/stats", "registry.revision:"))
+		}
+		behind = 0
+		for i := range st.nodes {
+			if figureAt("http://"+st.Door(i)+"/ops/stats", "router.list_revision:") < newest {
+				behind++
+			}
+		}
+		if behind == 0 && newest > 0 || time.Now().After(end) || st.ctx.Err() != nil {
+			return behind
+		}
+	}
+}
+
+// ops is the operators' door of a list server.
+func (st *Stage) ops(i int) string {
+	return process.At(st.block.Own(relay.Party{Kind: relay.Server, N: i}), process.OpsPort)
+}
+
+// figureAt reads one figure of a door; -1 if it can't be had.
+func figureAt(url, name string) int64 {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return -1
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return -1
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxPage))
+	_, after, found := strings.Cut(string(text), name)
+	if err != nil || !found {
+		return -1
+	}
+	value, _, _ := strings.Cut(after, "|")
+	v, err := strconv.ParseInt(value, 10, 64)
+	if err != nil {
+		return -1
+	}
+	return v
+}
+
 // moment is something that is due.
 type moment struct {
 	at time.Duration
@@ -353,7 +418,7 @@
 // readNotices reads all servers once. One that is out or paused is read later.
 func (st *Stage) readNotices() {
 	for i := range st.lists {
-		if !st.lists[i].runs() {
+		if !st.lists[i].Runs() {
 			continue
 		}
 		for st.readPage(i) {
@@ -365,7 +430,7 @@
 func (st *Stage) readPage(i int) bool {
 	ctx, cancel := context.WithTimeout(st.ctx, time.Second)
 	defer cancel()
-	addr := at(st.block.own(relay.Party{Kind: relay.Server, N: i}), listPort)
+	addr := process.At(st.block.Own(relay.Party{Kind: relay.Server, N: i}), process.ListPort)
 	url := "http://" + addr + "/reports?after=" + strconv.FormatInt(st.seqs[i], 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/lab/stage/report.go
+++ b/internal/lab/stage/report.go
@@ -144,6 +144,7 @@
 	fell := 0
 	for _, e := range l.endpoints {
 		fell += e.fell
+		f["open_early"], f["open_most"] = max(f["open_early"], float64(e.mostEarly)), max(f["open_most"], float64(e.mostOpen))
 		f["cold_load"] = max(f["cold_load"], e.load)
 		f["late_calls"] += float64(e.lateCalls)
 		f["last_late_call"] = max(f["last_late_call"], e.lastLate.Seconds())
--- a/internal/lab/stage/script.go
+++ b/internal/lab/stage/script.go
@@ -71,11 +71,12 @@
 
 // NodeSpec is how nodes are configured.
 type NodeSpec struct {
-	Notes      bool `toml:"notes"`
-	Membership bool `toml:"membership"`
-	Keep       bool `toml:"keep"`
-	Door       bool `toml:"door"`
-	Slots      int  `toml:"slots"`
+	Notes      bool         `toml:"notes"`
+	Membership bool         `toml:"membership"`
+	Keep       bool         `toml:"keep"`
+	Door       bool         `toml:"door"`
+	Slots      int          `toml:"slots"`
+	Beat       units.Millis `toml:"beat"` // that list servers are asked for
 	// Weights says whether the list tells what an endpoint takes, in calls a second: none, nominal or rough.
 	Weights string `toml:"weights"`
 }
--- a/internal/lab/stage/settings.go
+++ b/internal/lab/stage/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"harrierramp/internal/lab/model"
+	"harrierramp/internal/lab/process"
 	"harrierramp/internal/lab/relay"
 	"harrierramp/internal/wire"
 )
@@ -48,23 +49,23 @@
 	self := relay.Party{Kind: relay.Node, N: n}
 	var peers, servers []string
 	for i := range st.script.Nodes {
-		peers = append(peers, at(st.block.face(relay.Party{Kind: relay.Node, N: i}), notePort))
+		peers = append(peers, process.At(st.block.Face(relay.Party{Kind: relay.Node, N: i}), process.NotePort))
 	}
 	for i := range st.script.Servers {
-		servers = append(servers, at(st.block.face(relay.Party{Kind: relay.Server, N: i}), listPort))
+		servers = append(servers, process.At(st.block.Face(relay.Party{Kind: relay.Server, N: i}), process.ListPort))
 	}
 	c := map[string]any{
-		"name": self.String(), "listen": at(st.block.own(self), clientPort), "source": st.block.own(self).String(),
+		"name": self.String(), "listen": process.At(st.block.Own(self), process.ClientPort), "source": st.block.Own(self).String(),
 		"discovery": servers[0], "seed": fmt.Sprintf("%x", st.script.Seed<<16+uint64(n)+1),
 		"limits":   map[string]any{"cores": 1, "memory_mb": 128, "sockets": 1024, "disk_mb": 3},
-		"registry": map[string]any{"addresses": servers, "keep": st.script.Node.Keep},
+		"registry": map[string]any{"addresses": servers, "keep": st.script.Node.Keep, "beat_ms": float64(st.script.Node.Beat)},
 		"settings": st.script.settings(n),
 	}
 	if st.script.Node.Notes {
-		c["peer_listen"], c["peers"] = at(st.block.own(self), notePort), peers
+		c["peer_listen"], c["peers"] = process.At(st.block.Own(self), process.NotePort), peers
 	}
 	if st.script.Node.Door {
-		c["console"] = at(st.block.own(self), doorPort)
+		c["console"] = process.At(st.block.Own(self), process.DoorPort)
 	}
 	if st.script.Node.Membership {
 		c["membership"] = map[string]any{}
@@ -100,8 +101,8 @@
 func (st *Stage) serverArgs(n int) []string {
 	self := relay.Party{Kind: relay.Server, N: n}
 	args := []string{
-		"registry", "--listen", at(st.block.own(self), listPort), "--console", at(st.block.own(self), opsPort),
-		"--state", filepath.Join(st.dir, self.String()), "--source", st.block.own(self).String(), "--number", fmt.Sprint(n),
+		"registry", "--listen", process.At(st.block.Own(self), process.ListPort), "--console", process.At(st.block.Own(self), process.OpsPort),
+		"--state", filepath.Join(st.dir, self.String()), "--source", st.block.Own(self).String(), "--number", fmt.Sprint(n),
 	}
 	if n == 0 {
 		args = append(args, "--bootstrap")
@@ -110,7 +111,7 @@
 		all := ""
 		for i := range st.script.Servers {
 			p := relay.Party{Kind: relay.Server, N: i}
-			addr := at(st.block.face(p), listPort)
+			addr := process.At(st.block.Face(p), process.ListPort)
 			if i > 0 {
 				all += ","
 			}
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -18,9 +18,9 @@
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
+	"harrierramp/internal/lab/process"
 	"harrierramp/internal/lab/relay"
 	"harrierramp/internal/partner"
 )
@@ -40,12 +40,12 @@
 	script Script
 	o      Options
 	dir    string
-	block  *block
+	block  *process.Block
 	net    *relay.Net
-	starts *starter
+	starts *process.Starter
 	ledger *ledger
-	nodes  []*process
-	lists  []*process
+	nodes  []*process.Process
+	lists  []*process.Process
 	wg     sync.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -85,14 +85,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("stage: %w", err)
 	}
-	if st.block, err = holdBlock(); err != nil {
+	if st.block, err = process.HoldBlock(); err != nil {
 		return nil, errors.Join(err, st.tidy())
 	}
 	st.ctx, st.cancel = context.WithCancel(ctx)
 	st.ledger = newLedger(&st.script, day, time.Now())
-	st.net = relay.New(s.Seed, st.block.who, st.ledger.passed)
-	roomForFiles()
-	st.starts = newStarter()
+	st.net = relay.New(s.Seed, st.block.Who, st.ledger.passed)
+	st.starts = process.NewStarter()
 	if err := st.build(); err != nil {
 		return nil, errors.Join(fmt.Errorf("stage: %w", err), st.Close())
 	}
@@ -106,7 +105,7 @@
 	for i := range st.script.Nodes {
 		p := relay.Party{Kind: relay.Node, N: i}
 		parties = append(parties, p)
-		faces, owns = append(faces, at(st.block.face(p), notePort)), append(owns, at(st.block.own(p), notePort))
+		faces, owns = append(faces, process.At(st.block.Face(p), process.NotePort)), append(owns, process.At(st.block.Own(p), process.NotePort))
 		raw, err := st.nodeConfig(i)
 		if err != nil {
 			return err
@@ -115,7 +114,7 @@
 		if err := os.WriteFile(file, raw, 0o600); err != nil {
 			return err
 		}
-		x, err := st.process(p, append([]string{"serve", "--config", file, "--state", filepath.Join(st.dir, p.String())}, st.o.NodeArgs...))
+		x, err := st.prepare(p, append([]string{"serve", "--config", file, "--state", filepath.Join(st.dir, p.String())}, st.o.NodeArgs...))
 		if err != nil {
 			return err
 		}
@@ -128,10 +127,10 @@
 	}
 	for i := range st.script.Servers {
 		p := relay.Party{Kind: relay.Server, N: i}
-		if err := st.net.TCP(at(st.block.face(p), listPort), p, at(st.block.own(p), listPort)); err != nil {
+		if err := st.net.TCP(process.At(st.block.Face(p), process.ListPort), p, process.At(st.block.Own(p), process.ListPort)); err != nil {
 			return err
 		}
-		x, err := st.process(p, st.serverArgs(i))
+		x, err := st.prepare(p, st.serverArgs(i))
 		if err != nil {
 			return err
 		}
@@ -148,21 +147,21 @@
 	return nil
 }
 
-func (st *Stage) process(p relay.Party, args []string) (*process, error) {
+func (st *Stage) prepare(p relay.Party, args []string) (*process.Process, error) {
 	state := filepath.Join(st.dir, p.String())
 	if err := os.MkdirAll(state, 0o700); err != nil {
 		return nil, err
 	}
-	return &process{
-		name: p.String(), starter: st.starts, program: st.o.Program, args: args, env: st.o.Env, state: state, log: state + ".log",
-		crashed: st.ledger.crash,
+	return &process.Process{
+		Name: p.String(), Starter: st.starts, Program: st.o.Program, Args: args, Env: st.o.Env, State: state, Log: state + ".log",
+		Crashed: st.ledger.crash,
 	}, nil
 }
 
 // openPartner starts a partner on its own address, and opens its face.
 func (st *Stage) openPartner(dest, n int, spec Dest, shared *partner.Ledger) error {
 	p := relay.Party{Kind: relay.Partner, N: len(st.partners)}
-	own := at(st.block.own(p), callPort)
+	own := process.At(st.block.Own(p), process.CallPort)
 	cfg := partner.Config{
 		ID: endpointID(dest, n), Rate: spec.Rate, Burst: spec.Burst, Latency: spec.Latency.Duration(), Listen: own, Conns: spec.Connections,
 	}
@@ -175,8 +174,8 @@
 	if err != nil {
 		return err
 	}
-	source := &net.TCPAddr{IP: net.IP(st.block.own(p).AsSlice())}
-	face := at(st.block.face(p), callPort)
+	source := &net.TCPAddr{IP: net.IP(st.block.Own(p).AsSlice())}
+	face := process.At(st.block.Face(p), process.CallPort)
 	st.partners = append(st.partners, &listedPartner{
 		p: one, instance: partner.Instance{ID: cfg.ID, Addr: face, Zone: "a", Kind: "partner", Dest: dest, Size: max(spec.Rate, 1)},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{LocalAddr: source}).DialContext}},
@@ -187,7 +186,7 @@
 // nodeOf is the number of the node that an address is of, -1 for none.
 func (st *Stage) nodeOf(hostPort string) int {
 	if a, err := net.ResolveTCPAddr("tcp4", hostPort); err == nil {
-		if p, ok := st.block.who(a.AddrPort().Addr().Unmap()); ok && p.Kind == relay.Node {
+		if p, ok := st.block.Who(a.AddrPort().Addr().Unmap()); ok && p.Kind == relay.Node {
 			return p.N
 		}
 	}
@@ -209,7 +208,7 @@
 	}
 	var servers []string
 	for i := range st.script.Servers {
-		servers = append(servers, at(st.block.face(relay.Party{Kind: relay.Server, N: i}), listPort))
+		servers = append(servers, process.At(st.block.Face(relay.Party{Kind: relay.Server, N: i}), process.ListPort))
 	}
 	ctx, leave := context.WithCancel(st.ctx)
 	before, left := x.left, make(chan struct{})
@@ -227,7 +226,7 @@
 }
 
 // of is the process of a party; nil for partners, which are none.
-func (st *Stage) of(p relay.Party) *process {
+func (st *Stage) of(p relay.Party) *process.Process {
 	switch p.Kind {
 	case relay.Node:
 		return st.nodes[p.N]
@@ -260,26 +259,27 @@
 // Start starts a process, if it does not run.
 func (st *Stage) Start(p relay.Party) error {
 	x := st.of(p)
-	if p.Kind == relay.Node && !x.runs() {
+	if p.Kind == relay.Node && !x.Runs() {
 		st.ledger.started(p.N)
 	}
-	return x.start()
+	return x.Start()
 }
 
 // Kill ends a process at once.
 func (st *Stage) Kill(p relay.Party) error {
-	err := st.of(p).kill()
+	err := st.of(p).Kill()
 	st.over(p)
 	return err
 }
 
 // End tells a process to end, and waits until it has.
 func (st *Stage) End(p relay.Party) error {
-	err := st.of(p).end()
+	err := st.of(p).End()
 	st.over(p)
 	return err
 }
 
+// over notes that a process has ended. The face of a list server stays, so that asks which find nobody are counted.
 func (st *Stage) over(p relay.Party) {
 	if p.Kind == relay.Node {
 		st.ledger.died(p.N)
@@ -290,28 +290,23 @@
 
 // Pause stops a process where it is, or lets it go on.
 func (st *Stage) Pause(p relay.Party, on bool) error {
-	s := syscall.SIGCONT
-	if on {
-		s = syscall.SIGSTOP
-	}
 	if on && p.Kind == relay.Server {
 		st.ledger.excuse()
 	}
-	_, err := st.of(p).signal(s)
-	return err
+	return st.of(p).Pause(on)
 }
 
 // Fill makes the disk of a process full, or gives it room again.
-func (st *Stage) Fill(p relay.Party, full bool) error { return st.of(p).fill(full) }
+func (st *Stage) Fill(p relay.Party, full bool) error { return st.of(p).Fill(full) }
 
 // Empty takes away what a process that does not run has kept.
-func (st *Stage) Empty(p relay.Party) error { return st.of(p).empty() }
+func (st *Stage) Empty(p relay.Party) error { return st.of(p).Empty() }
 
 // Damage spoils a file of a process that does not run, by chance from the script's seed.
 func (st *Stage) Damage(p relay.Party, file string) error {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.of(p).damage(file, st.rng)
+	return st.of(p).Damage(file, st.rng)
 }
 
 // Shut makes a partner refuse every call, or take them again, cold.
@@ -319,12 +314,12 @@
 
 // Addr is where clients reach a node, and Door where operators do.
 func (st *Stage) Addr(n int) string {
-	return at(st.block.own(relay.Party{Kind: relay.Node, N: n}), clientPort)
+	return process.At(st.block.Own(relay.Party{Kind: relay.Node, N: n}), process.ClientPort)
 }
 
 // Door is the operators' door of a node, where the script gives it one.
 func (st *Stage) Door(n int) string {
-	return at(st.block.own(relay.Party{Kind: relay.Node, N: n}), doorPort)
+	return process.At(st.block.Own(relay.Party{Kind: relay.Node, N: n}), process.DoorPort)
 }
 
 // mark notes something that is done.
@@ -353,7 +348,7 @@
 	st.wg.Wait()
 	var ends sync.WaitGroup
 	for _, p := range slices.Concat(st.nodes, st.lists) {
-		ends.Go(func() { st.failed(p.kill()) })
+		ends.Go(func() { st.failed(p.Kill()) })
 	}
 	ends.Wait()
 	st.net.Close()
@@ -361,8 +356,8 @@
 		x.p.Close()
 		x.client.CloseIdleConnections()
 	}
-	st.starts.close()
-	return errors.Join(errors.Join(st.errs...), st.block.free(), st.tidy())
+	st.starts.Close()
+	return errors.Join(errors.Join(st.errs...), st.block.Free(), st.tidy())
 }
 
 func (st *Stage) tidy() error {
--- a/internal/lab/stage/stage_test.go
+++ b/internal/lab/stage/stage_test.go
@@ -19,6 +19,9 @@
 
 // TestMain is a node or a list server when the stage starts this binary as one.
 func TestMain(m *testing.M) {
+	if _, faulty := os.LookupEnv(faultEnv); faulty && len(os.Args) > 3 && os.Args[1] == "serve" {
+		os.Exit(faultyNode(os.Args[1:]))
+	}
 	if os.Getenv(childEnv) != "" {
 		os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
 	}
@@ -221,7 +224,7 @@
 			t.Fatal(err)
 		}
 		x := st.of(p)
-		pids = append(pids, x.cmd.Process.Pid)
+		pids = append(pids, x.PID())
 		// Its list server is not there: the node says so, and takes no messages.
 		var why string
 		for end := time.Now().Add(20 * time.Second); why == "" && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/internal/listwatch/discovery.go
+++ b/internal/listwatch/discovery.go
@@ -1,6 +1,7 @@
 package listwatch
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -102,10 +103,11 @@
 	// first ask waits for its turn as well: the whole fleet may be starting.
 	Turns  Turns
 	Begin  bool
-	Asked  func() // an ask goes out; may be nil
-	Later  func() // and is told to come later; may be nil
-	Heard  func() // a server has said something
-	Turned func() // the watch goes to the next server
+	Beat   time.Duration // how often a server is asked to say something; 0 for as it likes
+	Asked  func()        // an ask goes out; may be nil
+	Later  func()        // and is told to come later; may be nil
+	Heard  func()        // a server has said something
+	Turned func()        // the watch goes to the next server
 	// check looks at a list before it is taken: it may give another in its place, or refuse it, and with it the server
 	// that told it. Nil takes each as it comes: the platform's discovery says what holds.
 	Check func(ctx context.Context, addr string, l List) (List, error)
@@ -113,56 +115,207 @@
 }
 
 // Run follows the list from a revision until the context ends. Each watch that ends turns it to the next server, but
-// for one that says when to come, which is asked again then.
+// for one that says when to come, which is asked again then. With Beat a server that falls silent is doubted: see Links.
 func (w *Watcher) Run(ctx context.Context, after int64) {
+	f := follower{Watcher: w, after: after, said: make(chan said, 16), began: time.Now()}
+	defer f.streams.Wait()
 	if w.Turns != nil && w.Begin {
 		backoff.Sleep(ctx, w.Turns.First())
 	}
-	turn, held := 0, uint64(0)
-	for ctx.Err() == nil {
-		addr, here, cancel := w.At.Here(ctx, turn)
-		url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", addr, after)
-		patience := Silence
-		if w.Turns != nil {
-			patience = answerPatience
+	for turn, held := 0, uint64(0); ctx.Err() == nil; {
+		s := f.open(ctx, turn, held)
+		s, moved, err := f.follow(ctx, s)
+		held, turn = 0, s.turn
+		if moved {
+			w.Pause.Reset() // it has moved, or the node ends
+			continue
+		}
+		w.Log.Debug("list_watch_ended", "addr", s.addr, "err", err)
+		var wait time.Duration
+		if wait, held = w.rest(err, s.lists > 0, time.Since(s.began)); held == 0 {
+			w.Turned()
+			turn++
+		}
+		backoff.Sleep(ctx, wait)
+	}
+}
+
+// follower is a Watcher at work. One goroutine owns it, and hears from the streams by a channel.
+type follower struct {
+	*Watcher
+	after   int64
+	said    chan said
+	streams sync.WaitGroup
+	began   time.Time
+}
+
+// stream is one watch of one server.
+type stream struct {
+	addr   string
+	turn   int
+	ctx    context.Context
+	cancel context.CancelFunc
+	began  time.Time
+	lists  int
+	beat   time.Duration // of the server; 0 where it has none
+}
+
+// said is what a stream has heard: that it is open, a line, maybe empty, or its end.
+type said struct {
+	from *stream
+	open bool
+	beat time.Duration
+	text []byte
+	err  error // the end, where it is not nil
+}
+
+func (f *follower) now() time.Duration { return time.Since(f.began) }
+
+// open begins to watch a server.
+func (f *follower) open(ctx context.Context, turn int, held uint64) *stream {
+	s := &stream{turn: turn, began: time.Now()}
+	s.addr, s.ctx, s.cancel = f.At.Here(ctx, turn)
+	url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", s.addr, f.after)
+	w := Watch{Patience: Silence}
+	tell := func(m said) {
+		m.from = s
+		select {
+		case f.said <- m:
+		case <-ctx.Done():
 		}
+	}
+	if f.Turns != nil {
+		w.Patience = answerPatience
 		if held != 0 {
 			url += fmt.Sprintf("&turn=%d", held)
 		}
-		if w.Asked != nil {
-			w.Asked()
+	}
+	if f.Beat > 0 {
+		url += fmt.Sprintf("&beat=%d", f.Beat.Milliseconds())
+		w.Opened = func(beat time.Duration) { tell(said{open: true, beat: beat}) }
+	}
+	w.Heard = func() { tell(said{}) }
+	if f.Asked != nil {
+		f.Asked()
+	}
+	f.streams.Go(func() {
+		err := Lines(s.ctx, f.Client, url, w, func(line []byte) error {
+			tell(said{text: bytes.Clone(line)})
+			return nil
+		})
+		tell(said{err: err})
+	})
+	return s
+}
+
+// follow follows a server to the end of its watch, and another beside it while it is silent. It returns the stream that
+// it followed last, and why that has ended; moved is whether that was since the servers have moved or the node ends.
+func (f *follower) follow(ctx context.Context, first *stream) (last *stream, moved bool, err error) {
+	var other *stream
+	var links *Links
+	defer func() {
+		first.cancel()
+		if other != nil {
+			other.cancel()
 		}
-		began, lists := time.Now(), 0
-		err := Lines(here, w.Client, url, patience, w.Heard, func(line []byte) error {
-			var l List
-			err := json.Unmarshal(line, &l)
-			if err == nil && w.Check != nil {
-				l, err = w.Check(here, addr, l)
+	}()
+	ticks := time.NewTicker(max(f.Beat/2, 50*time.Millisecond))
+	defer ticks.Stop()
+	drop := func() {
+		if other != nil {
+			other.cancel()
+		}
+		other = nil
+		links.Lost()
+	}
+	for {
+		var m said
+		select {
+		case m = <-f.said:
+		case <-ticks.C:
+			if links == nil {
+				continue
 			}
-			if err == nil {
-				after = l.Revision
-				lists++
-				w.Pause.Reset()
-				w.Tell(l)
+			switch links.Step(f.now()) {
+			case Open:
+				f.Log.Warn("list_silent", "addr", first.addr)
+				other = f.open(ctx, first.turn+1, 0)
+			case Renew:
+				turn := first.turn + 1
+				if other != nil {
+					turn = other.turn + 1
+					other.cancel()
+				}
+				other = f.open(ctx, turn, 0)
+			case Drop:
+				f.Log.Info("list_silent_over", "addr", first.addr)
+				drop()
+			case Leave:
+				f.Log.Warn("list_server_left", "addr", first.addr, "for", other.addr)
+				f.Turned()
+				first.cancel()
+				first, other = other, nil
 			}
-			return err
-		})
-		held = 0
-		if here.Err() != nil {
-			w.Pause.Reset() // it has moved, or the node ends
-		} else {
-			w.Log.Debug("list_watch_ended", "addr", addr, "err", err)
-			var wait time.Duration
-			if wait, held = w.rest(err, lists > 0, time.Since(began)); held == 0 {
-				w.Turned()
-				turn++
+			continue
+		case <-ctx.Done():
+			return first, true, ctx.Err()
+		}
+		switch {
+		case m.from != first && m.from != other:
+			continue // one that was left
+		case m.err != nil && m.from == first:
+			if other == nil || other.lists == 0 {
+				return first, first.ctx.Err() != nil, m.err
+			}
+			f.Turned()
+			first, other = other, nil
+			links.Lost()
+		case m.err != nil:
+			drop()
+		case m.open:
+			if m.from.beat = m.beat; m.from == first && m.beat > 0 {
+				links = NewLinks(f.now(), m.beat)
+			}
+		default:
+			err := f.hear(m, first, links)
+			if err != nil && m.from == first {
+				return first, first.ctx.Err() != nil, err
+			} else if err != nil {
+				drop()
 			}
-			backoff.Sleep(here, wait)
 		}
-		cancel()
 	}
 }
 
+// hear takes one line of a stream.
+func (f *follower) hear(m said, first *stream, links *Links) error {
+	if m.text == nil {
+		f.Heard()
+		if links != nil && m.from == first {
+			links.Heard(f.now())
+		} else if links != nil {
+			links.HeardOther(f.now(), false)
+		}
+		return nil
+	}
+	var l List
+	err := json.Unmarshal(m.text, &l)
+	if err == nil && f.Check != nil {
+		l, err = f.Check(m.from.ctx, m.from.addr, l)
+	}
+	if err != nil {
+		return err
+	}
+	if links != nil && m.from != first {
+		links.HeardOther(f.now(), l.Revision > f.after)
+	}
+	f.after = l.Revision
+	m.from.lists++
+	f.Pause.Reset()
+	f.Tell(l)
+	return nil
+}
+
 // rest is how long to wait after a watch that has ended so, and the turn to come with, 0 for none: then it is the next
 // server's.
 func (w *Watcher) rest(err error, served bool, took time.Duration) (time.Duration, uint64) {
--- /dev/null
+++ b/internal/listwatch/links_test.go
@@ -0,0 +1,201 @@
+package listwatch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const testBeat = 100 * time.Millisecond
+
+// playLinks steps the links of a server whose beats are heard as given, and another's beside it, and returns the acts.
+func playLinks(span time.Duration, first, other func(now time.Duration) (heard, more bool)) (acts []string) {
+	l := NewLinks(0, testBeat)
+	open := false
+	for now := time.Duration(0); now < span; now += 10 * time.Millisecond {
+		if heard, _ := first(now); heard {
+			l.Heard(now)
+		}
+		if heard, more := other(now); heard && open {
+			l.HeardOther(now, more)
+		}
+		switch l.Step(now) {
+		case Open:
+			open = true
+			acts = append(acts, fmt.Sprint("open ", now))
+		case Drop:
+			open = false
+			acts = append(acts, fmt.Sprint("drop ", now))
+		case Leave:
+			acts = append(acts, fmt.Sprint("leave ", now))
+			return acts
+		case Renew:
+			acts = append(acts, fmt.Sprint("renew ", now))
+		}
+	}
+	return acts
+}
+
+func TestWhatIsDoneAboutASilentServer(t *testing.T) {
+	beats := func(now time.Duration) (bool, bool) { return now%testBeat == 0, false }
+	never := func(time.Duration) (bool, bool) { return false, false }
+	knows := func(now time.Duration) (bool, bool) { return now%testBeat == 0, true }
+	until := func(end time.Duration) func(time.Duration) (bool, bool) {
+		return func(now time.Duration) (bool, bool) { return now%testBeat == 0 && now <= end, false }
+	}
+	gap := func(now time.Duration) (bool, bool) {
+		return now%testBeat == 0 && (now <= time.Second || now >= 1500*time.Millisecond), false
+	}
+	late := func(now time.Duration) (bool, bool) { // each beat comes 50 ms late, from a second on
+		return now <= time.Second && now%testBeat == 0 || now > time.Second && now%testBeat == 50*time.Millisecond, false
+	}
+	for name, c := range map[string]struct {
+		first, other func(time.Duration) (bool, bool)
+		want         string
+	}{
+		"it beats":                        {beats, knows, "[]"},
+		"it becomes slow":                 {late, knows, "[]"},
+		"silent, the other knows more":    {until(time.Second), knows, "[open 1.31s leave 1.4s]"},
+		"silent, the other knows as much": {until(time.Second), beats, "[open 1.31s leave 2.21s]"},
+		"silent, and the other too":       {until(time.Second), never, "[open 1.31s renew 2.52s renew 3.73s renew 4.94s]"},
+		"it comes back":                   {gap, beats, "[open 1.31s drop 2.3s]"},
+	} {
+		if got := fmt.Sprint(playLinks(5*time.Second, c.first, c.other)); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
+
+// Whatever is heard when: a server that beats is never left, and no act comes without the one that it follows.
+func TestLinksKeepTheirOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now, beside, heard, knew := NewLinks(0, testBeat), time.Duration(0), false, time.Duration(0), false
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.Int64Range(0, int64(4*testBeat)).Draw(t, "pause"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				l.Heard(now)
+				heard = now
+			case 1:
+				if beside {
+					more := rapid.Bool().Draw(t, "more")
+					l.HeardOther(now, more)
+					knew = knew || more
+				}
+			case 2:
+				if beside {
+					l.Lost()
+					beside, knew = false, false
+				}
+			}
+			act := l.Step(now)
+			silent := now-heard > 3*testBeat
+			switch {
+			case act == Open && (beside || !silent), (act == Drop || act == Leave || act == Renew) && !beside, act == Leave && !silent && !knew:
+				t.Fatalf("act %d, beside %v, silent %v", act, beside, silent)
+			}
+			if beside = beside || act == Open; act == Drop || act == Leave {
+				beside, knew = false, false
+			}
+			knew = knew && act != Renew
+			if act == Leave {
+				heard = now
+			}
+		}
+	})
+}
+
+// beating is a list server that beats until it is stalled.
+type beating struct {
+	srv     *httptest.Server
+	stalled atomic.Bool
+	mu      sync.Mutex
+	list    List
+	asks    int
+}
+
+func newBeating(t *testing.T, l List) *beating {
+	b := &beating{list: l}
+	b.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		b.asks++
+		b.mu.Unlock()
+		w.Header().Set(BeatHeader, r.FormValue("beat"))
+		for told := int64(-1); r.Context().Err() == nil; time.Sleep(testBeat / 2) {
+			if b.stalled.Load() {
+				continue
+			}
+			b.mu.Lock()
+			if l := b.list; l.Revision != told {
+				told = l.Revision
+				json.NewEncoder(w).Encode(l)
+			} else {
+				fmt.Fprintln(w)
+			}
+			b.mu.Unlock()
+			w.(http.Flusher).Flush()
+		}
+	}))
+	t.Cleanup(func() {
+		b.srv.CloseClientConnections()
+		b.srv.Close()
+	})
+	return b
+}
+
+// A link that goes silent while its connection stays open is met within a few beats: the other server's list holds.
+func TestASilentLinkIsMetByAnotherServer(t *testing.T) {
+	before := List{Revision: 5, Complete: true, Members: membersOf("a", "b")}
+	servers := []*beating{newBeating(t, before), newBeating(t, before)}
+	var addrs []string
+	for _, s := range servers {
+		addrs = append(addrs, s.srv.Listener.Addr().String())
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	told := make(chan int64, 100)
+	at := NewAddresses(addrs)
+	at.first = 0
+	var turned atomic.Int64
+	w := Watcher{
+		Log: slog.New(slog.NewTextHandler(t.Output(), nil)), Client: &http.Client{}, At: at, Turns: &fixedTurns{}, Beat: testBeat,
+		Heard: func() {}, Turned: func() { turned.Add(1) }, Tell: func(l List) { told <- l.Revision },
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx, 0)
+	}()
+	if got := <-told; got != 5 {
+		t.Fatalf("revision %d", got)
+	}
+	time.Sleep(8 * testBeat)
+	if servers[1].asks != 0 || turned.Load() != 0 {
+		t.Errorf("at rest the other is asked %d times", servers[1].asks)
+	}
+	servers[0].stalled.Store(true)
+	began := time.Now()
+	servers[1].mu.Lock()
+	servers[1].list = List{Revision: 6, Members: []Member{{ID: "a", Phase: "DELETED"}}}
+	servers[1].mu.Unlock()
+	for got := int64(0); got != 6; got = <-told {
+	}
+	if took := time.Since(began); took > 20*testBeat {
+		t.Errorf("the other's list holds after %v", took)
+	}
+	servers[0].stalled.Store(false) // it may beat again, and is not gone back to
+	time.Sleep(8 * testBeat)
+	if turned.Load() != 1 {
+		t.Errorf("%d turns", turned.Load())
+	}
+	cancel()
+	<-done
+}
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -77,15 +77,22 @@
 	return fmt.Sprintf("watch: %d %s: %s", e.Code, http.StatusText(e.Code), e.Text)
 }
 
-// Lines follows one watch to its end, which is always an error, and hands on each line that is not empty. heard is
-// called for empty lines as well; it may be nil. A watch that has gone silent is given up: its machine may be gone. For
-// the first line it has patience.
-func Lines(
-	ctx context.Context, client *http.Client, url string, patience time.Duration, heard func(), line func([]byte) error,
-) error {
+// BeatHeader says, in milliseconds, how often a server that was asked for it says something.
+const BeatHeader = "Registry-Beat-Ms"
+
+// Watch is how a watch is followed. The functions may be nil.
+type Watch struct {
+	Patience time.Duration // for the first line
+	Opened   func(beat time.Duration)
+	Heard    func() // for each line, also an empty one
+}
+
+// Lines follows one watch to its end, which is always an error, and hands on each line that is not empty. A watch that
+// has gone silent is given up: its machine may be gone.
+func Lines(ctx context.Context, client *http.Client, url string, w Watch, line func([]byte) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(patience, cancel)
+	silence := time.AfterFunc(w.Patience, cancel)
 	defer silence.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -102,12 +109,19 @@
 		no.told(resp.Header)
 		return errors.Join(no, err)
 	}
+	if w.Opened != nil {
+		ms, err := strconv.ParseInt(resp.Header.Get(BeatHeader), 10, 64)
+		if err != nil || ms < 0 || ms > Silence.Milliseconds() {
+			ms = 0 // it says something when it likes
+		}
+		w.Opened(time.Duration(ms) * time.Millisecond)
+	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 16<<10), maxLine)
 	for lines.Scan() {
 		silence.Reset(Silence)
-		if heard != nil {
-			heard()
+		if w.Heard != nil {
+			w.Heard()
 		}
 		if text := bytes.TrimSpace(lines.Bytes()); len(text) > 0 {
 			if err := line(text); err != nil {
--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -30,7 +30,7 @@
 	url := serve(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{1}\n\n\n{2}\n") })
 	var got []string
 	heard := 0
-	err := Lines(t.Context(), http.DefaultClient, url, Silence, func() { heard++ }, func(l []byte) error {
+	err := Lines(t.Context(), http.DefaultClient, url, Watch{Patience: Silence, Heard: func() { heard++ }}, func(l []byte) error {
 		got = append(got, string(l))
 		return nil
 	})
@@ -43,7 +43,7 @@
 	url := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		http.Error(w, "no list yet"+strings.Repeat("x", 1<<20), http.StatusServiceUnavailable)
 	})
-	err := Lines(t.Context(), http.DefaultClient, url, Silence, nil, nil)
+	err := Lines(t.Context(), http.DefaultClient, url, Watch{Patience: Silence}, nil)
 	var status *StatusError
 	if !errors.As(err, &status) || status.Code != 503 || !strings.HasPrefix(status.Text, "no list yet") || len(status.Text) > 256 {
 		t.Errorf("got %v", err)
@@ -57,7 +57,7 @@
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	})
-	if err := Lines(t.Context(), http.DefaultClient, url, Silence, nil, func([]byte) error { return bad }); !errors.Is(err, bad) {
+	if err := Lines(t.Context(), http.DefaultClient, url, Watch{Patience: Silence}, func([]byte) error { return bad }); !errors.Is(err, bad) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -71,7 +71,7 @@
 			return here, nil
 		}}}
 		defer client.CloseIdleConnections()
-		if err := Lines(t.Context(), client, "http://silent/", Silence, nil, nil); !errors.Is(err, context.Canceled) {
+		if err := Lines(t.Context(), client, "http://silent/", Watch{Patience: Silence}, nil); !errors.Is(err, context.Canceled) {
 			t.Errorf("got %v", err)
 		}
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,6 +127,10 @@
 
 // New makes a node that Run brings to life. Its folder must be the node's alone.
 func New(cfg config.Config, log *slog.Logger) *Node {
+	if cfg.Registry != nil {
+		_, remembers, err := newLearnt(cfg.State).read(time.Now())
+		cfg.Settings.Cautious = !remembers || err != nil
+	}
 	n := &Node{
 		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(), began: time.Now(),
 		figures:   metrics.New(cfg.Names.Classes),
--- a/internal/partner/partner.go
+++ b/internal/partner/partner.go
@@ -49,6 +49,7 @@
 const (
 	Connected What = iota
 	HungUp         // a connection beyond the limit
+	Closed         // a connection has ended
 	Called         // a call has come whole
 	Refused        // over the limit, shut, or fallen
 	Ran            // a call has run; its answer may get lost
@@ -178,6 +179,7 @@
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
+		p.seen(Seen{What: Closed, From: nc.RemoteAddr().String()})
 	}
 }
 
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -25,6 +25,7 @@
 	orderTimeout  = 2 * time.Second
 	idleTimeout   = time.Minute // longer than the pauses between renewals
 	idleLine      = 2 * time.Second
+	leastBeat     = 100 * time.Millisecond // that a watcher may ask for
 	defaultLeaseM = 10_000
 )
 
--- a/internal/registry/peers.go
+++ b/internal/registry/peers.go
@@ -191,12 +191,12 @@
 		}
 		here, cancel := context.WithCancel(ctx)
 		url := fmt.Sprintf("http://%s/registry/instances?watch=1&replica=1&after=%d", addr, s.feed.head())
-		err := listwatch.Lines(here, s.client, url, listwatch.Silence, func() {
+		err := listwatch.Lines(here, s.client, url, listwatch.Watch{Patience: listwatch.Silence, Heard: func() {
 			s.figures.heard.Store(time.Now().UnixNano())
 			if !s.is(roleFollower) || s.peers.primary() != addr {
 				cancel()
 			}
-		}, func(line []byte) error {
+		}}, func(line []byte) error {
 			l, err := readList(line)
 			if err == nil {
 				_, err = s.do(here, order{plan: func(time.Duration) (List, any, error) { return s.copied(l) }})
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -5,8 +5,11 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
+
+	"harrierramp/internal/listwatch"
 )
 
 // list answers with the list, or follows it for a watcher.
@@ -42,11 +45,20 @@
 		return
 	}
 	defer s.figures.watchers.Add(-1)
-	s.watch(w, r, Revision(after), r.URL.Query().Get("replica") == "1")
+	pause := idleLine
+	if ms, err := number(r, "beat"); err != nil {
+		s.refuse(w, err)
+		return
+	} else if ms > 0 {
+		pause = min(max(time.Duration(min(ms, idleLine.Milliseconds()))*time.Millisecond, leastBeat), idleLine)
+		w.Header().Set(listwatch.BeatHeader, strconv.FormatInt(pause.Milliseconds(), 10))
+	}
+	s.watch(w, r, Revision(after), r.URL.Query().Get("replica") == "1", pause)
 }
 
-// watch sends a watcher what leads from the revision that it has to the present, for as long as it takes it.
-func (s *Server) watch(w http.ResponseWriter, r *http.Request, after Revision, replica bool) {
+// watch sends a watcher what leads from the revision that it has to the present, for as long as it takes it, and an
+// empty line where nothing has changed for a pause.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, after Revision, replica bool, pause time.Duration) {
 	rc := http.NewResponseController(w)
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
 		s.log.Error("watch_not_opened", "err", err)
@@ -79,7 +91,7 @@
 		}
 		at.Store(int64(after))
 		// Watchers that heard of a change together must not have their empty lines together for ever.
-		idle.Reset(idleLine - rand.N(idleLine/4))
+		idle.Reset(pause - rand.N(pause/4))
 		select {
 		case <-n.news:
 		case <-idle.C:
