Know which node acts on which list: a table at the list service, harrierramp fleet

With a section audit a node tells the list service what it acts on (list revision, its own life, build, a digest of its configuration), within two seconds of a change and once a minute or so, whatever the size of the fleet; each server keeps a bounded row a node and how long a revision took to half, 99 in 100 and all; who asks joins what the servers know by lives and numbers, not clocks. harrierramp fleet status, wait and history; figures. With mark, calls carry X-Rests-On. On the stage a node that is cut off is known as behind alone, and as current once healed.

--- a/choice/account.go
+++ b/choice/account.go
@@ -164,6 +164,16 @@
 	}
 }
 
+// sure is the share of the cold budget that a keeper hands out: all of it, or where the fleet may just have begun the part
+// that it has of the limit, but for a quarter, which is for those who hear no keeper and go by their allowance. Over all
+// that may believe themselves keeper the parts add up to less than one.
+func (s *Sender) sure(r *route) float64 {
+	if s.cfg.Cautious {
+		return 0.75 * r.part
+	}
+	return 1
+}
+
 // newSince is since when this sender has known a destination of which no keeper has ever told it; 0 if one has.
 func (s *Sender) newSince(c *claim) time.Duration {
 	if s.cfg.Cautious && c.heardAt == 0 {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -546,7 +546,7 @@
 		part := max(knowingShare*even, demandShare*min(own, s.capacity(r)))
 		rate = s.cfg.FallMultiple * share * part
 		if r.whole {
-			rate = min(rate, r.part*s.capacity(r)) * s.here()
+			rate = min(rate*s.sure(r), r.part*s.capacity(r)) * s.here()
 		}
 		return rate, true
 	}
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -352,6 +352,7 @@
 func (s *Sender) begin(e *endpoint, f *route) {
 	if s.cfg.Cautious && s.limit(f) > 0 && s.now-e.dest.claim.beganAt < s.cfg.WarmWithin {
 		s.cool(f)
+		f.part *= takeOver // those of other ranks may not be heard, and begin as well
 	}
 }
 
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -267,6 +267,31 @@
 	}
 }
 
+// All begin at the same moment, remember nothing, and hold far more than their cold partner bears: what they send together
+// stays under that, whether or not they hear each other.
+func TestAFleetThatBeginsSparesAColdPartner(t *testing.T) {
+	for name, lose := range map[string]float64{"heard": 0, "half heard": 0.5, "deaf": 1} {
+		for _, size := range []int{10, 40, 300} {
+			w := newFleet(t, size, true)
+			w.cfg.Cautious, w.lose = true, lose
+			for i := range w.senders {
+				w.start(i)
+			}
+			span := w.cfg.Fall
+			w.run(span, 10*fleetLimit)
+			warm := w.cfg.ColdFrom + (1-w.cfg.ColdFrom)*seconds(span)/2/seconds(w.cfg.WarmWithin)
+			bears := w.cfg.FallMultiple * warm * fleetLimit * seconds(span)
+			t.Logf("%s, %d senders: %d calls in %v, %.0f are borne", name, size, w.passed+w.full, span, bears)
+			if calls := float64(w.passed + w.full); calls > bears+1 { // one more by chance
+				t.Errorf("%s, %d senders: %v calls, and %.0f are borne", name, size, calls, bears)
+			}
+			if lose == 0 && w.passed == 0 {
+				t.Errorf("%s, %d senders: nothing passes", name, size)
+			}
+		}
+	}
+}
+
 // Nobody tells a limit and nobody hears anybody, from the first moment on: what a partner without a limit could take is
 // sent all the same, and one with a limit is not asked for many times what it takes.
 func TestADeafFleetWithoutToldLimitsGoesOn(t *testing.T) {
--- a/choice/note.go
+++ b/choice/note.go
@@ -178,6 +178,9 @@
 			// so that all together make what they may from the first moment on, and not all at once.
 			c.silentAt, c.tokensAt = s.now, s.now+silentLast
 			c.share = min(1, (c.grantRate(s.now)*seconds(demandSpan)+0.5)/(d.rate(s.now)*seconds(demandSpan)+1.0))
+			if s.newSince(c) > 0 {
+				c.share = 0 // nothing was ever granted, and it may be cold
+			}
 			c.tokens = s.rng.Float64() + c.share*float64(len(d.waiting))
 		}
 		c.askedAt = s.now
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -62,7 +62,7 @@
 	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error {
 		return usageError{fmt.Errorf("%w%s; see '%s --help'", err, nearestFlag(c, err.Error()), c.CommandPath())}
 	})
-	root.AddCommand(newServe(), newRegistry(), newConfig(), newOps(), newJournal(), newDemo(), newVersion())
+	root.AddCommand(newServe(), newRegistry(), newConfig(), newOps(), newFleet(), newJournal(), newDemo(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,266 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"harrierramp/internal/config"
+	"harrierramp/internal/roster"
+)
+
+const (
+	fleetTimeout = 3 * time.Second // for one list server
+	fleetPause   = 250 * time.Millisecond
+	maxFleetBody = 16 << 20
+)
+
+// fleetOptions say which list servers are asked.
+type fleetOptions struct {
+	servers []string
+	asJSON  bool
+}
+
+func newFleet() *cobra.Command {
+	var o fleetOptions
+	c := group("fleet", "Ask the list service who of the fleet has applied what",
+		"  harrierramp fleet status --servers 127.0.0.1:8500,127.0.0.1:8510\n  harrierramp fleet wait 68719476799 --share 0.99 --timeout 30s",
+		o.status(), o.wait(), o.history())
+	c.PersistentFlags().StringSliceVar(&o.servers, "servers", nil, "addresses of the list servers (default: registry.addresses of $ROUTER_CONFIG)")
+	c.PersistentFlags().BoolVar(&o.asJSON, "json", false, "answer as JSON")
+	return c
+}
+
+// at are the servers' addresses.
+func (o *fleetOptions) at() ([]string, error) {
+	if len(o.servers) > 0 {
+		return o.servers, nil
+	}
+	if file := os.Getenv("ROUTER_CONFIG"); file != "" {
+		l, err := config.Load(config.Sources{File: file, Env: os.Getenv})
+		if err != nil {
+			return nil, err
+		}
+		if l.Registry != nil {
+			return l.Registry.Addresses, nil
+		}
+	}
+	return nil, usageError{errors.New("no list servers: give --servers, or set $ROUTER_CONFIG to a configuration with a section registry")}
+}
+
+// view joins what all servers know. Servers that don't answer are named; all of them is an error.
+func (o *fleetOptions) view(ctx context.Context) (roster.View, []string, error) {
+	addrs, err := o.at()
+	if err != nil {
+		return roster.View{}, nil, err
+	}
+	views, errs := make([]*roster.View, len(addrs)), make([]error, len(addrs))
+	var asks sync.WaitGroup
+	for i, addr := range addrs {
+		asks.Go(func() { views[i], errs[i] = fleetView(ctx, addr) })
+	}
+	asks.Wait()
+	var known []roster.View
+	var silent []string
+	for i, v := range views {
+		if v == nil {
+			silent = append(silent, addrs[i])
+			continue
+		}
+		known = append(known, *v)
+	}
+	if len(known) == 0 {
+		return roster.View{}, silent, errors.Join(errs...)
+	}
+	return roster.Merge(known), silent, nil
+}
+
+func fleetView(ctx context.Context, addr string) (*roster.View, error) {
+	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/registry/nodes", nil)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", addr, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", addr, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s", addr, resp.Status)
+	}
+	var v roster.View
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxFleetBody)).Decode(&v); err != nil {
+		return nil, fmt.Errorf("%s: %w", addr, err)
+	}
+	return &v, nil
+}
+
+// state is a node's in one word.
+func state(r roster.Row) string {
+	switch {
+	case r.Silent:
+		return "silent"
+	case r.BehindMS > 0:
+		return "behind"
+	case !r.Ready:
+		return "not ready"
+	}
+	return "current"
+}
+
+func (o *fleetOptions) status() *cobra.Command {
+	return &cobra.Command{
+		Use: "status", Short: "Print each node's state; status 0 if all are current", Args: none,
+		Long: `Print each node's state: current, behind and since when, silent, or not ready; and how many run which build and
+configuration. A node that has never told is not in the table, which is why silent list servers are named. The status is
+0 if all nodes are current and all servers answer.`,
+		Example: "  harrierramp fleet status --servers 127.0.0.1:8500,127.0.0.1:8510",
+		RunE: func(c *cobra.Command, _ []string) error {
+			v, silent, err := o.view(c.Context())
+			if err != nil {
+				return err
+			}
+			out := c.OutOrStdout()
+			states, builds, configs := map[string]int{}, map[string]int{}, map[string]int{}
+			for _, r := range v.Nodes {
+				states[state(r)]++
+				builds[r.Build]++
+				configs[r.Config]++
+			}
+			if o.asJSON {
+				err = json.NewEncoder(out).Encode(map[string]any{
+					"head": v.Head, "nodes": v.Nodes, "states": states, "builds": builds, "configs": configs, "silent_servers": silent,
+				})
+			} else {
+				err = printFleet(out, v, states, builds, configs)
+			}
+			if err != nil {
+				return err
+			}
+			if bad := len(v.Nodes) - states["current"]; bad > 0 || len(silent) > 0 || len(v.Nodes) == 0 {
+				return fmt.Errorf("%d of %d nodes are not current, list servers that don't answer: %v", bad, len(v.Nodes), silent)
+			}
+			return nil
+		},
+	}
+}
+
+func printFleet(out io.Writer, v roster.View, states, builds, configs map[string]int) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "NODE\tSTATE\tREVISION\tBEHIND\tSINCE\tHEARD\tBUILD\tCONFIG")
+	for _, r := range v.Nodes {
+		behind, since := "-", "-"
+		if r.BehindMS > 0 {
+			behind, since = strconv.FormatInt(v.Head-r.Revision, 10), seconds(r.BehindMS)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", r.Name, state(r), r.Revision, behind, since, seconds(r.HeardMS), r.Build, r.Config)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, g := range []struct {
+		name string
+		of   map[string]int
+	}{{"states", states}, {"builds", builds}, {"configurations", configs}} {
+		fmt.Fprintf(out, "%s:", g.name)
+		for _, k := range slices.Sorted(maps.Keys(g.of)) {
+			fmt.Fprintf(out, " %s %d", k, g.of[k])
+		}
+		fmt.Fprintln(out)
+	}
+	_, err := fmt.Fprintf(out, "revision %d\n", v.Head)
+	return err
+}
+
+func seconds(ms int64) string { return fmt.Sprintf("%.1fs", float64(ms)/1000) }
+
+func (o *fleetOptions) wait() *cobra.Command {
+	var share float64
+	var most time.Duration
+	c := &cobra.Command{
+		Use: "wait REVISION", Short: "Wait until the fleet has applied a revision", Args: cobra.ExactArgs(1),
+		Long: `Wait until all nodes that are not silent, or a share of them, act on a revision or a later one; for scripts that replace
+endpoints. The status is 1 if that does not happen in time.`,
+		Example: "  harrierramp fleet wait 68719476799 --share 0.99 --timeout 30s --servers 127.0.0.1:8500",
+		RunE: func(c *cobra.Command, args []string) error {
+			revision, err := strconv.ParseInt(args[0], 10, 64)
+			if err != nil || revision <= 0 || !(share > 0 && share <= 1) {
+				return usageError{fmt.Errorf("revision %q and share %v: a number over 0, and a share up to 1", args[0], share)}
+			}
+			ctx, cancel := context.WithTimeout(c.Context(), most)
+			defer cancel()
+			for last := -1; ; {
+				v, _, err := o.view(ctx)
+				if _, usage := errors.AsType[usageError](err); usage {
+					return err
+				}
+				have, all := 0, 0
+				for _, r := range v.Nodes {
+					if r.Silent {
+						continue
+					}
+					if all++; r.Revision >= revision {
+						have++
+					}
+				}
+				if have != last {
+					last = have
+					fmt.Fprintf(c.ErrOrStderr(), "%d of %d nodes have revision %d\n", have, all, revision)
+				}
+				if err == nil && all > 0 && float64(have) >= share*float64(all) {
+					return nil
+				}
+				select {
+				case <-ctx.Done():
+					return errors.Join(fmt.Errorf("%d of %d nodes have revision %d after %v", have, all, revision, most), err)
+				case <-time.After(fleetPause):
+				}
+			}
+		},
+	}
+	c.Flags().Float64Var(&share, "share", 1, "of the nodes that are not silent")
+	c.Flags().DurationVar(&most, "timeout", time.Minute, "how long to wait at most")
+	return c
+}
+
+func (o *fleetOptions) history() *cobra.Command {
+	return &cobra.Command{
+		Use: "history", Short: "Print how recent revisions went through the fleet", Args: none,
+		Example: "  harrierramp fleet history --servers 127.0.0.1:8500",
+		RunE: func(c *cobra.Command, _ []string) error {
+			v, _, err := o.view(c.Context())
+			if err != nil {
+				return err
+			}
+			if o.asJSON {
+				return json.NewEncoder(c.OutOrStdout()).Encode(v.Changes)
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', tabwriter.AlignRight)
+			fmt.Fprintln(t, "REVISION\tAGO\tAPPLIED\tOF\t50%\t99%\tALL\t")
+			after := func(ms int64) string {
+				if ms < 0 {
+					return "-"
+				}
+				return seconds(ms)
+			}
+			for _, h := range v.Changes {
+				fmt.Fprintf(t, "%d\t%s\t%d\t%d\t%s\t%s\t%s\t\n", h.Revision, seconds(h.AgoMS), h.Applied, h.Nodes, after(h.Half), after(h.Most), after(h.All))
+			}
+			return t.Flush()
+		},
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Log        Log             `json:"log" toml:"log"`
 	Registry   *ListService    `json:"registry" toml:"registry" doc:"the project's own list service, in place of discovery"`
 	Membership *Membership     `json:"membership" toml:"membership" doc:"nodes tell each other who is there"`
+	Audit      *Audit          `json:"audit" toml:"audit" doc:"nodes tell the list service what they act on"`
 	Deployment wire.Conf       `json:"settings" toml:"delivery"`
 	Known      listwatch.List  `json:"known" toml:"-"` // the list as the node last held it
 	Settings   choice.Settings `json:"-" toml:"-"`     // Deployment, for the module
@@ -69,6 +70,18 @@
 	Timeout units.Millis `json:"timeout_ms" toml:"timeout" doc:"for an answer, before others are asked; at most half of the period; 0s for a third of it, and 150 ms at most"`
 }
 
+// Audit is the section by which a node tells the list service what it acts on. It needs the section registry.
+type Audit struct {
+	Mark bool `json:"mark" toml:"mark" doc:"calls say which list they rest on, in a header"`
+}
+
+func (a *Audit) check(c *Config) error {
+	if a != nil && c.Registry == nil {
+		return errors.New("audit needs the section registry")
+	}
+	return nil
+}
+
 const (
 	maxListServers     = 16
 	defaultPing        = 500 * time.Millisecond
@@ -86,7 +99,7 @@
 		return err
 	}
 	c.Names = c.Deployment.Names()
-	return errors.Join(c.checkSource(), c.Limits.check(), c.Registry.check(), c.Membership.check(c))
+	return errors.Join(c.checkSource(), c.Limits.check(), c.Registry.check(), c.Membership.check(c), c.Audit.check(c))
 }
 
 func (c *Config) checkSource() error {
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -41,8 +41,13 @@
 	Body     []byte
 	Endpoint *Endpoint
 	NotPast  time.Time
+	Rests    string // on which list and process, for RestsHeader; empty for no header
 }
 
+// RestsHeader names what a call rests on: the revision of the list, and which process of the node it is, with a dot between
+// them.
+const RestsHeader = "X-Rests-On"
+
 // Result is how it ended.
 type Result struct {
 	Outcome choice.Outcome
@@ -146,6 +151,9 @@
 	if c.Key != "" {
 		req.Header["Idempotency-Key"] = []string{c.Key}
 	}
+	if c.Rests != "" {
+		req.Header[RestsHeader] = []string{c.Rests}
+	}
 	var b bytes.Buffer
 	if err := req.Write(&b); err != nil {
 		return nil, err
--- a/internal/lab/stage/ledger.go
+++ b/internal/lab/stage/ledger.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/egress"
 	"harrierramp/internal/lab/judge"
 	"harrierramp/internal/lab/model"
 	"harrierramp/internal/lab/relay"
@@ -87,6 +88,7 @@
 	brokenN   int
 	strange   int
 	crashes   int
+	unmarked  int // calls without a mark, where nodes are to mark them
 }
 
 // nodeSeen is a node as the stage sees it. Times are since its start; -1 for never.
@@ -371,6 +373,9 @@
 		b.Calls++
 		e.calls++
 		e.load = max(e.load, s.Load)
+		if l.script.Node.Audit && !marked(s.Header.Get(egress.RestsHeader)) {
+			l.unmarked++
+		}
 		if n.called < 0 {
 			n.called = at - n.started
 		}
@@ -394,6 +399,13 @@
 	}
 }
 
+// marked tells whether a call says on which list it rests, and whose it is.
+func marked(text string) bool {
+	var revision, life int64
+	n, err := fmt.Sscanf(text, "%d.%d", &revision, &life)
+	return err == nil && n == 2 && revision > 0 && life > 0
+}
+
 // called notes the beginning of a call. The lock is held.
 func (l *ledger) called(node int, e *endpointSeen, s partner.Seen, at time.Duration) {
 	m := l.byID[s.ID]
--- a/internal/lab/stage/play.go
+++ b/internal/lab/stage/play.go
@@ -19,6 +19,7 @@
 	"harrierramp/internal/lab/model"
 	"harrierramp/internal/lab/process"
 	"harrierramp/internal/lab/relay"
+	"harrierramp/internal/roster"
 )
 
 const (
@@ -68,6 +69,19 @@
 	return r
 }
 
+// Roster is what the list servers know of the nodes' versions.
+func (st *Stage) Roster() roster.View {
+	var views []roster.View
+	for i := range st.lists {
+		addr := process.At(st.block.Own(relay.Party{Kind: relay.Server, N: i}), process.ListPort)
+		var v roster.View
+		if text, err := get("http://" + addr + "/registry/nodes"); err == nil && json.Unmarshal(text, &v) == nil {
+			views = append(views, v)
+		}
+	}
+	return roster.Merge(views)
+}
+
 const staleWait = 10 * time.Second // after the traffic, for every node to have the newest list
 
 // stale is how many nodes don't have the newest revision of the list some time after all is over.
@@ -94,21 +108,26 @@
 	return process.At(st.block.Own(relay.Party{Kind: relay.Server, N: i}), process.OpsPort)
 }
 
-// figureAt reads one figure of a door; -1 if it can't be had.
-func figureAt(url, name string) int64 {
+// get reads what a process says at one of its own addresses.
+func get(url string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return -1
+		return nil, err
 	}
 	req.Close = true
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return -1
+		return nil, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxPage))
+	return io.ReadAll(io.LimitReader(resp.Body, maxPage))
+}
+
+// figureAt reads one figure of a door; -1 if it can't be had.
+func figureAt(url, name string) int64 {
+	text, err := get(url)
 	_, after, found := strings.Cut(string(text), name)
 	if err != nil || !found {
 		return -1
--- a/internal/lab/stage/report.go
+++ b/internal/lab/stage/report.go
@@ -153,6 +153,7 @@
 		}
 	}
 	f["fell"], f["strange"], f["crashes"] = float64(fell), float64(l.strange), float64(l.crashes)
+	f["unmarked"] = float64(l.unmarked)
 	r.Result = l.judge.Result()
 	r.Broken = slices.Clone(l.broken)
 	for _, v := range r.Result.Violations {
--- a/internal/lab/stage/script.go
+++ b/internal/lab/stage/script.go
@@ -75,6 +75,7 @@
 	Membership bool         `toml:"membership"`
 	Keep       bool         `toml:"keep"`
 	Door       bool         `toml:"door"`
+	Audit      bool         `toml:"audit"` // nodes tell what they act on, and mark their calls with it
 	Slots      int          `toml:"slots"`
 	Beat       units.Millis `toml:"beat"` // that list servers are asked for
 	// Weights says whether the list tells what an endpoint takes, in calls a second: none, nominal or rough.
--- a/internal/lab/stage/settings.go
+++ b/internal/lab/stage/settings.go
@@ -67,6 +67,9 @@
 	if st.script.Node.Door {
 		c["console"] = process.At(st.block.Own(self), process.DoorPort)
 	}
+	if st.script.Node.Audit {
+		c["audit"] = map[string]any{"mark": true}
+	}
 	if st.script.Node.Membership {
 		c["membership"] = map[string]any{}
 	}
--- a/internal/lab/stage/stage_test.go
+++ b/internal/lab/stage/stage_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"harrierramp/internal/cli"
 	"harrierramp/internal/lab/relay"
+	"harrierramp/internal/roster"
 )
 
 const childEnv = "TEST_CHILD_OF_THE_STAGE"
@@ -204,6 +206,74 @@
 `+small)
 }
 
+// The list service knows who acts on what: a node that is cut off from it is behind a change that the others have, and
+// current again when it is healed; each call says on which list it rests.
+func TestTheFleetsVersionsAreKnown(t *testing.T) {
+	t.Setenv(childEnv, "1")
+	s := script(t, `
+name = "versions"
+seed = 1
+nodes = 6
+servers = 2
+for = "9s"
+[traffic]
+rate = 5
+life = "3s"
+[[fault]]
+at = "3s"
+for = "3s"
+from = "nodes:2"
+to = "servers"
+both = true
+cut = true
+[[act]]
+at = "3500ms"
+who = "partners:0"
+do = "withdraw"
+[expect]
+unmarked = 0
+lost = 0
+broken = 0
+[expect_least]
+delivered = 200
+`+small)
+	s.Node.Audit, s.Node.Beat = true, 250
+	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ran := make(chan error, 1)
+	go func() { ran <- st.Run() }()
+	eventually := func(what string, holds func(current, behind int, rows []roster.Row) bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+			v := st.Roster()
+			behind := slices.DeleteFunc(slices.Clone(v.Nodes), func(r roster.Row) bool { return r.BehindMS == 0 })
+			if holds(len(v.Nodes)-len(behind), len(behind), behind) {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("never: %s: %+v", what, v)
+			}
+		}
+	}
+	eventually("all are current", func(current, behind int, _ []roster.Row) bool { return current == 6 && behind == 0 })
+	eventually("the one that is cut off is behind alone", func(current, behind int, rows []roster.Row) bool {
+		return current == 5 && behind == 1 && rows[0].Name == "node-2"
+	})
+	eventually("it is brought up", func(current, behind int, _ []roster.Row) bool { return current == 6 && behind == 0 })
+	if err := <-ran; err != nil {
+		t.Error(err)
+	}
+	if r := st.Report(); r.Failed() {
+		r.Print(t.Output())
+		t.Errorf("%v", r.Missed)
+	}
+	if err := st.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // A stage that is opened holds its addresses; closed, it leaves no process behind, and a second one stands beside it.
 func TestTwoStagesStandBesideEachOther(t *testing.T) {
 	t.Setenv(childEnv, "1")
--- /dev/null
+++ b/internal/node/audit.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"harrierramp/internal/atomicfile"
+	"harrierramp/internal/config"
+	"harrierramp/internal/roster"
+)
+
+const (
+	livesName    = "lives"
+	claimTimeout = 2 * time.Second
+	maxClaimSaid = 4 << 10 // of a server's answer
+)
+
+// audit is how the node tells the list service what it acts on. The loop owns it.
+type audit struct {
+	core *roster.Teller
+	life uint32 // of this process: one more than of the process before
+	turn int    // of the list servers
+
+	term  context.Context // ends when this process no longer owns the node
+	posts sync.WaitGroup
+}
+
+// claimed is the end of a claim that was posted.
+type claimed struct{ err error }
+
+// newAudit begins to tell, or is nil where that is off.
+func (n *Node) newAudit(term context.Context) *audit {
+	if n.cfg.Audit == nil || n.cfg.Registry == nil {
+		return nil
+	}
+	path := filepath.Join(n.cfg.State, livesName)
+	before, err := readIncarnation(path)
+	if err != nil {
+		n.log.Warn("lives_unreadable", "err", err)
+		before = uint32(time.Now().Unix()) // later than any count of starts
+	}
+	a := &audit{life: before + 1, term: term}
+	if err := atomicfile.Replace(path, fmt.Appendln(nil, a.life)); err != nil {
+		n.log.Warn("lives_not_kept", "err", err)
+	}
+	a.core = roster.NewTeller(n.now(), roster.Claim{
+		Name: n.cfg.Name, Incarnation: int64(a.life), Revision: n.revision, Build: build(), Config: configDigest(n.cfg), Ready: n.cold == nil || n.cold.Ready(),
+	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return a
+}
+
+// build names what this program was built from.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && len(s.Value) >= 12 {
+			return s.Value[:12]
+		}
+	}
+	return "unknown"
+}
+
+// configDigest is the same for all nodes that are told the same of the deployment.
+func configDigest(c config.Config) string {
+	c.Deployment.Number = 0
+	raw, err := json.Marshal([]any{c.Deployment, c.Limits, c.Registry, c.Membership, c.Audit})
+	if err != nil {
+		return "unknown"
+	}
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:6])
+}
+
+// version is what a call rests on, for a header; empty where that is not told.
+func (n *Node) version() string {
+	if n.audit == nil {
+		return ""
+	}
+	return fmt.Sprintf("%d.%d", n.revision, n.audit.life)
+}
+
+// wait is how long it is until something is to be told.
+func (a *audit) wait(now time.Duration) time.Duration {
+	if a == nil || a.core.Wake() == 0 {
+		return time.Hour
+	}
+	return max(a.core.Wake()-now, 0)
+}
+
+// account tells the list service what the node acts on, if that is due.
+func (n *Node) account() {
+	a := n.audit
+	if a == nil {
+		return
+	}
+	now := n.now()
+	a.core.Update(now, n.revision, n.cold == nil || n.cold.Ready(), "")
+	c, due := a.core.Next(now)
+	if !due {
+		return
+	}
+	addr, here, cancel := n.discovery.Here(a.term, a.turn)
+	a.posts.Go(func() {
+		defer cancel()
+		err := postClaim(here, n.client, addr, c)
+		if err != nil {
+			n.log.Debug("claim_not_taken", "addr", addr, "err", err)
+		}
+		n.tell(a.term, claimed{err})
+	})
+}
+
+// close waits for what is being told; term has ended.
+func (a *audit) close() {
+	if a != nil {
+		a.posts.Wait()
+	}
+}
+
+// accounted takes the end of a claim; one that was not taken goes to the next server.
+func (n *Node) accounted(e claimed) {
+	if n.audit == nil {
+		return
+	}
+	if e.err != nil {
+		n.audit.turn++
+	}
+	n.audit.core.Done(n.now(), e.err == nil)
+}
+
+func postClaim(ctx context.Context, client *http.Client, addr string, c roster.Claim) error {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/registry/nodes", bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	said, err := io.ReadAll(io.LimitReader(resp.Body, maxClaimSaid))
+	if err == nil && resp.StatusCode != http.StatusNoContent {
+		err = fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(said))
+	}
+	return err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 	discovery *listwatch.Addresses // shared
 	peers     *peers               // nil if the fleet has no datagrams
 	fellows   *fellows             // nil without membership
+	audit     *audit               // nil where nothing is told
 	lock      *os.File             // this process owns the node while it has it
 	orders    *orders
 	clients   *ingress.Server // shared
@@ -235,7 +236,10 @@
 	var parts sync.WaitGroup
 	term, end := context.WithCancel(life)
 	defer parts.Wait()
-	defer end()
+	defer func() {
+		end()
+		n.audit.close()
+	}()
 	n.step(life, events, nil)
 	follow, after := n.newWatcher(func(l listwatch.List) { n.tell(term, l) }), n.revision
 	parts.Go(func() { follow.Run(term, after) })
@@ -259,6 +263,7 @@
 	if n.peers, err = listenToPeers(term, n.cfg); err != nil {
 		n.log.Error("notes_unavailable", "err", err)
 	}
+	n.audit = n.newAudit(term)
 	if n.fellows = n.newFellows(); n.peers != nil {
 		parts.Go(func() { n.peers.receive(term, n.log, &n.figures.Strangers, n.noted) })
 		defer n.peers.close()
@@ -395,7 +400,7 @@
 	if n.cold != nil && n.cold.Wake() > 0 {
 		wait = min(wait, max(n.cold.Wake()-n.now(), 0))
 	}
-	return min(wait, n.fellows.wait(n.now()))
+	return min(wait, n.fellows.wait(n.now()), n.audit.wait(n.now()))
 }
 
 // take turns a batch into the module's events, and steps.
@@ -420,6 +425,8 @@
 			for _, s := range e {
 				n.forget(s.Of)
 			}
+		case claimed:
+			n.accounted(e)
 		case choice.Told:
 			events = append(events, e)
 		case memberNote:
@@ -670,6 +677,7 @@
 		}
 	}
 	n.publish()
+	n.account()
 	n.keepList()
 	n.keepLearnt()
 	for _, a := range fresh { // not refused, so taken on
@@ -740,6 +748,9 @@
 		n.figures.First(p.Dest, now.Sub(p.Came))
 	}
 	c := egress.Call{ID: p.ID, Key: p.Key, Body: p.Body, Endpoint: e, NotPast: n.wall(a.NotPast)}
+	if n.audit != nil && n.cfg.Audit.Mark {
+		c.Rests = n.version()
+	}
 	n.acts = append(n.acts, func() {
 		ctx, cancel := context.WithCancel(ctx)
 		n.out[name] = outCall{p, e, cancel}
--- a/internal/registry/console.go
+++ b/internal/registry/console.go
@@ -37,6 +37,7 @@
 		}
 		s.answer(w, s.status())
 	})
+	mux.HandleFunc("PUT /ops/nodes/forget", s.forget)
 	mux.HandleFunc("PUT /ops/instances/phase", func(w http.ResponseWriter, r *http.Request) {
 		id, phase := r.URL.Query().Get("id"), r.URL.Query().Get("phase")
 		s.order(w, r, func(now time.Duration) (List, any, error) {
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -78,6 +78,8 @@
 	mux.HandleFunc("POST /registry/instances/{id}/renew", s.renewals(s.renew))
 	mux.HandleFunc("PUT /registry/instances/{id}/phase", s.renewals(s.setPhase))
 	mux.HandleFunc("DELETE /registry/instances/{id}", s.renewals(s.withdraw))
+	mux.HandleFunc("POST /registry/nodes", s.renewals(s.claimed))
+	mux.HandleFunc("GET /registry/nodes", s.nodes)
 	mux.HandleFunc("POST /reports", s.report)
 	mux.HandleFunc("GET /reports", s.reported)
 	return mux
@@ -129,6 +131,8 @@
 	case turn:
 		said.AfterMS = notNow.wait.Milliseconds()
 		listwatch.TellWait(w.Header(), notNow.wait, notNow.turn)
+	case rosterCode(err) != 0:
+		code = rosterCode(err)
 	case errors.As(err, &conflict):
 		code, said.AfterMS = http.StatusConflict, conflict.After.Milliseconds()
 	case errors.As(err, &elsewhere):
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"harrierramp/internal/listwatch"
+	"harrierramp/internal/roster"
 )
 
 const (
@@ -96,6 +97,7 @@
 	figures figures  // shared
 	peers   *peers   // shared
 	gate    *gate    // shared
+	desk    *desk    // shared
 	client  *http.Client
 	start   time.Time
 	orders  chan order
@@ -121,7 +123,7 @@
 	s := &Server{
 		cfg: cfg, log: log, store: store, cat: NewCatalog(cfg.Options), feed: newFeed(cfg.Coalesce), reports: reps,
 		peers: newPeers(cfg), start: time.Now(), orders: make(chan order, maxOrders), stopped: make(chan struct{}),
-		client: listwatch.NewClient(cfg.Source), gate: newGate(cfg.StartRate),
+		client: listwatch.NewClient(cfg.Source), gate: newGate(cfg.StartRate), desk: newDesk(),
 	}
 	for _, l := range lists {
 		s.cat.Apply(0, l)
@@ -335,6 +337,7 @@
 
 // publish brings the gauges up to date for readers that must not wait for the loop.
 func (s *Server) publish() {
+	s.desk.with(s.now(), s.feed.head(), func(*roster.Table) {})
 	s.figures.instances.Store(int64(s.cat.Len()))
 	s.figures.lapsed.Store(s.cat.Lapses)
 	s.figures.preserved.Store(s.cat.Preserved)
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,187 @@
+package roster
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const s = time.Second
+
+func claim(name string, incarnation, seq, revision int64) Claim {
+	return Claim{Name: name, Incarnation: incarnation, Seq: seq, Revision: revision, Build: "b", Config: "c", Ready: true}
+}
+
+// A change goes through a fleet: who has it, who is behind and since when, and how long it took.
+func TestAChangeGoesThroughTheFleet(t *testing.T) {
+	x := NewTable()
+	x.Advance(0, 10)
+	for i := range 4 {
+		if err := x.Take(s, claim(fmt.Sprint("n", i), 1, 1, 10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	x.Advance(10*s, 11)
+	x.Advance(12*s, 12)
+	for i, at := range []time.Duration{11 * s, 13 * s, 20 * s} {
+		if err := x.Take(at, claim(fmt.Sprint("n", i), 1, 2, 11)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	v := x.View(30 * s)
+	if c := v.Changes[1]; c.Revision != 11 || c.Nodes != 4 || c.Applied != 3 || c.Half != 3000 || c.All != -1 || c.AgoMS != 20_000 {
+		t.Errorf("%+v", c)
+	}
+	if v.Nodes[0].BehindMS != 18_000 || v.Nodes[3].BehindMS != 20_000 || v.Head != 12 {
+		t.Errorf("%+v", v.Nodes)
+	}
+	if nodes, behind, silent, oldest := x.Counts(30 * s); nodes != 4 || behind != 4 || silent != 0 || oldest != 10 {
+		t.Errorf("%d nodes, %d behind, %d silent, oldest %d", nodes, behind, silent, oldest)
+	}
+	if v := x.View(s + SilentAfter + 1); !v.Nodes[3].Silent || v.Nodes[0].Silent {
+		t.Errorf("%+v", v.Nodes)
+	}
+}
+
+func TestBadClaimsAreRefused(t *testing.T) {
+	x := NewTable()
+	x.Advance(0, 10)
+	if err := x.Take(0, claim("n", 5, 5, 9)); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		c    Claim
+		want error
+	}{
+		"a revision not given yet": {claim("m", 1, 1, 11), ErrBad},
+		"no name":                  {claim("", 1, 1, 1), ErrBad},
+		"a long name":              {claim(strings.Repeat("x", 65), 1, 1, 1), ErrBad},
+		"a name with a line end":   {claim("a\nb", 1, 1, 1), ErrBad},
+		"no incarnation":           {claim("m", 0, 1, 1), ErrBad},
+		"no number":                {claim("m", 1, 0, 1), ErrBad},
+		"a revision below zero":    {claim("m", 1, 1, -1), ErrBad},
+		"an earlier incarnation":   {claim("n", 4, 9, 10), ErrOld},
+		"the same claim again":     {claim("n", 5, 5, 10), ErrOld},
+		"an earlier claim":         {claim("n", 5, 4, 10), ErrOld},
+	} {
+		if err := x.Take(s, c.c); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if x.Refused != 10 || len(x.View(s).Nodes) != 1 {
+		t.Errorf("%d refused, %+v", x.Refused, x.View(s).Nodes)
+	}
+}
+
+// A flood of names fills the table and no more; a row silent for a day gives way.
+func TestTheTableIsBounded(t *testing.T) {
+	x := NewTable()
+	x.Advance(0, 1)
+	for i := range MaxNodes + 100 {
+		if err := x.Take(0, claim(fmt.Sprint("n", i), 1, 1, 1)); (err != nil) != (i >= MaxNodes) {
+			t.Fatalf("claim %d: %v", i, err)
+		}
+	}
+	for r := range int64(3 * maxChanges) {
+		x.Advance(s, r+2)
+	}
+	if v := x.View(s); len(v.Nodes) != MaxNodes || len(v.Changes) != maxChanges {
+		t.Errorf("%d nodes, %d changes", len(v.Nodes), len(v.Changes))
+	}
+	if err := x.Take(2*forgottenFor, claim("late", 1, 1, 1)); err != nil {
+		t.Error(err)
+	}
+}
+
+// What several servers know joins to the same, in whatever order, and the latest claim wins whatever the clocks say.
+func TestViewsJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*Table{NewTable(), NewTable(), NewTable()}
+		want := map[string]Claim{}
+		for _, x := range tables {
+			x.Advance(0, rapid.Int64Range(50, 60).Draw(t, "head"))
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "claims") {
+			c := claim(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), rapid.Int64Range(1, 3).Draw(t, "incarnation"),
+				rapid.Int64Range(1, 9).Draw(t, "seq"), rapid.Int64Range(0, 50).Draw(t, "revision"))
+			if tables[rapid.IntRange(0, 2).Draw(t, "server")].Take(s, c) == nil {
+				if old := want[c.Name]; c.Incarnation > old.Incarnation || c.Incarnation == old.Incarnation && c.Seq > old.Seq {
+					want[c.Name] = c
+				}
+			}
+		}
+		views := []View{tables[0].View(s), tables[1].View(s), tables[2].View(s)}
+		one, other := Merge(views), Merge([]View{views[2], views[0], views[1]})
+		if len(one.Nodes) != len(want) {
+			t.Fatalf("%d nodes of %d", len(one.Nodes), len(want))
+		}
+		for i, r := range one.Nodes {
+			if c := want[r.Name]; r.Incarnation != c.Incarnation || r.Seq != c.Seq || other.Nodes[i].Seq != r.Seq {
+				t.Fatalf("%+v, and the latest is %+v", r.Claim, c)
+			}
+			if (r.Revision < one.Head) != (r.BehindMS > 0) {
+				t.Fatalf("%+v with head %d", r, one.Head)
+			}
+		}
+	})
+}
+
+// What a fleet's telling costs does not hang on how often the list changes, and a change is known within two seconds and a
+// bit; at rest a node tells once a minute or so.
+func TestTellingCostsTheSameForEach(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		every       time.Duration // between changes
+		least, most float64       // claims of a node in a minute
+	}{{"at rest", time.Hour, 0.8, 1.5}, {"a change a second", time.Second, 20, 60}, {"a change in 10 ms", 10 * time.Millisecond, 20, 60}} {
+		rng := rand.New(rand.NewPCG(1, 1))
+		const nodes, minutes = 50, 10
+		told, latest := 0, time.Duration(0)
+		var tellers []*Teller
+		for i := range nodes {
+			tellers = append(tellers, NewTeller(0, claim(fmt.Sprint(i), 1, 0, 1), rng))
+		}
+		changed, revision := time.Duration(0), int64(1)
+		for now := time.Duration(0); now < minutes*time.Minute; now += 10 * time.Millisecond {
+			if now-changed >= c.every {
+				changed = now
+				revision++
+			}
+			for _, x := range tellers {
+				x.Update(now, revision, true, "")
+				if _, ok := x.Next(now); ok {
+					told++
+					latest = max(latest, now-changed)
+					x.Done(now, true)
+				}
+			}
+		}
+		if rate := float64(told) / nodes / minutes; rate < c.least || rate > c.most {
+			t.Errorf("%s: %.1f claims a node and minute", c.name, rate)
+		}
+	}
+}
+
+// A claim that nobody takes is made again, with pauses that grow to a bound, and always the newest.
+func TestAClaimIsMadeAgain(t *testing.T) {
+	x := NewTeller(0, claim("n", 1, 0, 1), rand.New(rand.NewPCG(1, 1)))
+	tries, last := 0, int64(0)
+	for now := time.Duration(0); now < 5*time.Minute; now += 10 * time.Millisecond {
+		x.Update(now, int64(now/time.Second)+1, true, "a cut")
+		if c, ok := x.Next(now); ok {
+			if tries++; c.Revision != int64(now/time.Second)+1 || c.Seq <= last || c.Why != "a cut" && tries > 1 {
+				t.Fatalf("%+v at %v", c, now)
+			}
+			last = c.Seq
+			x.Done(now, false)
+		}
+	}
+	if tries < 8 || tries > 30 {
+		t.Errorf("%d tries in five minutes", tries)
+	}
+}
