Put stand-in watchers on a list server, and let second opinions through its gate

harrierlab watchers: as many watchers as a fleet has nodes, each in its turn or all at once, with asks, turns and times.

By reading: since the gate came, the whole list that a node in doubt asks every server for counted as a beginning, so that of hundreds in doubt at once most would have had no second opinion within the time for it. They now say what they know and go before those that begin. Beats of a server that was turned to are its own, not those of the one before.

--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -32,7 +32,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(newRun(), newDay(), newTrace(), newCompare(), newPolicies(), newPaper(), newLoopback(), newStage(), newLoad(), newPartner())
+	root.AddCommand(newRun(), newDay(), newTrace(), newCompare(), newPolicies(), newPaper(), newLoopback(), newStage(), newLoad(), newPartner(), newWatchers())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(stderr, "harrierlab: %v\n", err)
 		if usage || strings.HasPrefix(err.Error(), "unknown command") {
--- a/internal/lab/relay/fault.go
+++ b/internal/lab/relay/fault.go
@@ -237,6 +237,12 @@
 	n.wg.Wait()
 }
 
+// OnLoopback refuses every address that is not on this machine.
+func OnLoopback(addr string) error {
+	_, err := loopback(addr)
+	return err
+}
+
 // loopback refuses every address that is not on this machine.
 func loopback(addr string) (netip.AddrPort, error) {
 	a, err := netip.ParseAddrPort(addr)
--- /dev/null
+++ b/internal/lab/watchers/watchers.go
@@ -0,0 +1,147 @@
+// Package watchers puts stand-in watchers on a list server: as many nodes as wanted, of which each follows the list in
+// its turn as a real node does, and nothing else.
+package watchers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"harrierramp/internal/lab/relay"
+	"harrierramp/internal/listwatch"
+	"harrierramp/internal/turns"
+)
+
+// Most is how many watchers there may be.
+const Most = 10_000
+
+// Options say what is played.
+type Options struct {
+	Servers []string      // on loopback
+	Count   int           // of watchers
+	For     time.Duration // at most; it ends half a second after the last has its list
+	Beat    time.Duration // that is asked for; 0 for none
+	Turned  bool          // each keeps its turn; else all ask at once and then do as they are told
+}
+
+// Result is what came of it.
+type Result struct {
+	Listed, Asks, Told     int
+	Busiest                int           // asks in one second
+	Median, P99, Last      time.Duration // until a watcher had its list
+	ListBytes              int64
+	RevisionsSeen, Waiting int
+}
+
+// Run plays it.
+func Run(ctx context.Context, o Options) (Result, error) {
+	var r Result
+	if o.Count < 1 || o.Count > Most || o.For <= 0 || o.For > 10*time.Minute || len(o.Servers) == 0 {
+		return r, fmt.Errorf("watchers: %d at %d servers for %v: up to %d, one server at least, up to 10 min", o.Count, len(o.Servers), o.For, Most)
+	}
+	for _, addr := range o.Servers {
+		if err := relay.OnLoopback(addr); err != nil {
+			return r, fmt.Errorf("watchers: %w", err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.For)
+	defer cancel()
+	var bytes atomic.Int64
+	client := &http.Client{Transport: &http.Transport{
+		DisableCompression: true, MaxIdleConnsPerHost: o.Count,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := new(net.Dialer).DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return counted{nc, &bytes}, nil
+		},
+	}}
+	defer client.CloseIdleConnections()
+	var mu sync.Mutex
+	var asks []time.Duration
+	times := hdrhistogram.New(1, (20 * time.Minute).Microseconds(), 3)
+	began := time.Now()
+	var all sync.WaitGroup
+	listed := make(chan struct{}, o.Count)
+	for i := range o.Count {
+		w := listwatch.Watcher{
+			Log: slog.New(slog.DiscardHandler), Client: client, At: listwatch.NewAddresses(o.Servers), Begin: o.Turned, Beat: o.Beat,
+			Turns: turns.NewTurn(o.Count, i, rand.New(rand.NewPCG(uint64(i), 1))), Heard: func() {}, Turned: func() {},
+			Asked: func() {
+				mu.Lock()
+				defer mu.Unlock()
+				asks = append(asks, time.Since(began))
+			},
+			Later: func() {
+				mu.Lock()
+				defer mu.Unlock()
+				r.Told++
+			},
+		}
+		first := true
+		w.Tell = func(listwatch.List) {
+			mu.Lock()
+			defer mu.Unlock()
+			r.RevisionsSeen++
+			if first {
+				first = false
+				took := time.Since(began)
+				r.Last = max(r.Last, took)
+				times.RecordValue(max(took.Microseconds(), 1)) // bounded by For
+				listed <- struct{}{}
+			}
+		}
+		all.Go(func() { w.Run(ctx, 0) })
+	}
+wait:
+	for r.Waiting = o.Count; r.Waiting > 0; r.Waiting-- {
+		select {
+		case <-listed:
+		case <-ctx.Done():
+			break wait
+		}
+	}
+	if r.Waiting == 0 {
+		select {
+		case <-time.After(500 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	cancel()
+	all.Wait()
+	r.Listed, r.Asks, r.ListBytes = o.Count-r.Waiting, len(asks), bytes.Load()
+	r.Median = time.Duration(times.ValueAtQuantile(50)) * time.Microsecond
+	r.P99 = time.Duration(times.ValueAtQuantile(99)) * time.Microsecond
+	for from, i := 0, 0; i < len(asks); i++ {
+		for asks[i]-asks[from] >= time.Second {
+			from++
+		}
+		r.Busiest = max(r.Busiest, i-from+1)
+	}
+	if r.Waiting > 0 {
+		return r, errors.New("watchers: some never had a list")
+	}
+	return r, nil
+}
+
+// counted counts what is read.
+type counted struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
--- a/internal/listwatch/discovery.go
+++ b/internal/listwatch/discovery.go
@@ -225,8 +225,9 @@
 		if other != nil {
 			other.cancel()
 		}
-		other = nil
-		links.Lost()
+		if other = nil; links != nil {
+			links.Lost()
+		}
 	}
 	for {
 		var m said
@@ -255,6 +256,7 @@
 				f.Turned()
 				first.cancel()
 				first, other = other, nil
+				links = f.links(first)
 			}
 			continue
 		case <-ctx.Done():
@@ -269,12 +271,12 @@
 			}
 			f.Turned()
 			first, other = other, nil
-			links.Lost()
+			links = f.links(first)
 		case m.err != nil:
 			drop()
 		case m.open:
-			if m.from.beat = m.beat; m.from == first && m.beat > 0 {
-				links = NewLinks(f.now(), m.beat)
+			if m.from.beat = m.beat; m.from == first {
+				links = f.links(first)
 			}
 		default:
 			err := f.hear(m, first, links)
@@ -287,6 +289,14 @@
 	}
 }
 
+// links begins to look at a server's beats; nil where it has none.
+func (f *follower) links(s *stream) *Links {
+	if s.beat <= 0 {
+		return nil
+	}
+	return NewLinks(f.now(), s.beat)
+}
+
 // hear takes one line of a stream.
 func (f *follower) hear(m said, first *stream, links *Links) error {
 	if m.text == nil {
--- a/internal/listwatch/doubt.go
+++ b/internal/listwatch/doubt.go
@@ -8,6 +8,7 @@
 	"io"
 	"iter"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -18,7 +19,7 @@
 const (
 	// What is lost is doubted if it is at least so many and more than half of what was known.
 	doubtLeast = 3
-	doubtPause = 50 * time.Millisecond // between asks while it is
+	doubtPause = 75 * time.Millisecond // between asks while it is, and up to as much again
 	MostDoubt  = time.Second           // the most that a list may be held
 	// What a file says is held against servers that tell less for so long, while others have yet to be heard.
 	unconfirmedLast = 30 * time.Second
@@ -131,7 +132,7 @@
 	defer cancel()
 	for {
 		for _, addr := range d.At.all() {
-			later, err := askList(ctx, d.Client, addr)
+			later, err := askList(ctx, d.Client, addr, d.Head)
 			if err != nil {
 				d.Log.Debug("list_no_second_opinion", "addr", addr, "err", err)
 				continue
@@ -143,16 +144,18 @@
 				return l
 			}
 		}
-		if !backoff.Sleep(ctx, doubtPause) {
+		if !backoff.Sleep(ctx, doubtPause+rand.N(doubtPause)) {
 			return l
 		}
 	}
 }
 
-// askList gets the whole list once.
-func askList(ctx context.Context, client *http.Client, addr string) (List, error) {
+// askList gets the whole list once. It says which revision is known: who only wants a second opinion goes before those
+// that begin.
+func askList(ctx context.Context, client *http.Client, addr string, known int64) (List, error) {
 	var l List
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/registry/instances", nil)
+	url := fmt.Sprintf("http://%s/registry/instances?after=%d", addr, known)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return l, err
 	}
--- a/internal/listwatch/links.go
+++ b/internal/listwatch/links.go
@@ -79,6 +79,3 @@
 	}
 	return Stay
 }
-
-// Wake is when Step has to be asked again, if nothing is heard before.
-func (l *Links) Wake(now time.Duration) time.Duration { return now + l.doubtAfter/6 }
--- a/internal/registry/gate.go
+++ b/internal/registry/gate.go
@@ -55,7 +55,7 @@
 		return nil
 	}
 	class := turns.Whole
-	if s.feed.leadsFrom(after) {
+	if s.feed.leadsFrom(after) || after > 0 && q.Get("watch") != "1" { // the latter wants a second opinion on what it was told
 		class = turns.Recent
 	}
 	held, err := number(r, "turn")
--- a/internal/registry/server_test.go
+++ b/internal/registry/server_test.go
@@ -736,6 +736,9 @@
 	if len(waits) < 5 {
 		t.Errorf("waits %v", waits)
 	}
+	if code, _ := ask("?after=1"); code != http.StatusOK {
+		t.Errorf("who wants a second opinion is told %d", code)
+	}
 	if code, _ := ask("?watch=1&replica=1"); code != http.StatusOK {
 		t.Errorf("another server is told %d", code)
 	}
