Have a node that did not run for a while look before it acts

Part of the audit, with the section audit only: internal/gap notices a tick that is over a second late (a pause, swap, a stopped machine); choice is told (Blind) and sends nothing new until a list server has said something that can't have lain in a buffer, or for 1.5 s; final answers come in time as ever.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -91,7 +91,7 @@
 // Step takes the events of a moment and returns what to do about them, in order.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
 	s.now, s.actions = now, nil
-	// Lists and operators first: a drain acts in the step that told of it, whatever stands before it.
+	// Lists and operators first: a drain acts in the step that told of it.
 	for _, e := range events {
 		switch e := e.(type) {
 		case Listed:
@@ -104,6 +104,8 @@
 			s.met(e)
 		case Recalled:
 			s.recalled(e)
+		case Blind:
+			s.blind = e.On
 		}
 	}
 	for _, e := range events {
@@ -134,7 +136,7 @@
 		s.do(Watch{})
 	}
 	s.expire()
-	if !s.leaving { // what is held goes on in the next life; what may have run by then might be lost
+	if !s.leaving && !s.blind { // what is held goes on in the next life; what may have run by then might be lost
 		s.release()
 		if s.shared() {
 			if s.claims(); s.grant() {
@@ -224,14 +226,7 @@
 	if deadline > 0 {
 		upper, lower = min(upper, deadlineShut*deadline), min(lower, deadlineOpen*deadline)
 	}
-	switch {
-	case !g.seen:
-		g.shut = current > upper
-	case current > upper:
-		g.shut = true
-	case current < lower:
-		g.shut = false
-	}
+	g.shut = current > upper || (g.seen && g.shut && current >= lower)
 	return !g.shut
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -103,6 +103,24 @@
 	w.finish()
 }
 
+// A process that has yet to look sends nothing, ends what is due, and goes on from where it was.
+func TestNothingIsSentBlind(t *testing.T) {
+	w := newStory(t, settings(), 1)
+	w.step(0, one())
+	w.step(5*ms, w.arrive("before", 0, 0))
+	w.step(5*ms, Blind{On: true}, w.arrive("in it", 0, 0))
+	w.quiet(time.Second)
+	if len(w.sends) != 1 {
+		t.Fatalf("%d calls are made: %v", len(w.sends), w.log)
+	}
+	w.step(5*ms, Blind{})
+	if len(w.sends) != 2 {
+		t.Errorf("%d calls are made after it: %v", len(w.sends), w.log)
+	}
+	w.step(5*ms, Blind{On: true}, w.arrive("late", 0, 0))
+	w.finish() // each message has its end in time, or the story fails
+}
+
 func TestRuleOneEveryMessageEnds(t *testing.T) {
 	w := newStory(t, settings(), 1)
 	w.step(0, w.arrive("nowhere", 0, 9)) // no such destination, no list at all
--- a/choice/state.go
+++ b/choice/state.go
@@ -33,6 +33,7 @@
 	asking  time.Duration         // pause before the list is asked for again
 	askAt   time.Duration
 	leaving bool
+	blind   bool            // Blind holds
 	out     map[string]bool // endpoints that operators have taken out
 	failing float64         // smoothed share of failures at routes not known to be struck
 	actions []Action
--- a/choice/types.go
+++ b/choice/types.go
@@ -191,6 +191,11 @@
 	Gone, Left bool
 }
 
+// Blind says that this process did not run for a while and has yet to confirm what it knows, or that it has: nothing new is
+// sent in between, and final answers come in time as ever.
+type Blind struct{ On bool }
+
+func (Blind) event()    {}
 func (Member) event()   {}
 func (Leaving) event()  {}
 func (Disabled) event() {}
--- /dev/null
+++ b/internal/gap/gap_test.go
@@ -0,0 +1,75 @@
+package gap
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func TestWhatAGapDoes(t *testing.T) {
+	for name, c := range map[string]struct {
+		gap   time.Duration   // after a second of ticks
+		heard []time.Duration // after its end
+		blind time.Duration   // for so long after it, in steps of 50 ms
+	}{
+		"none":                       {0, nil, 0},
+		"a late tick":                {900 * ms, nil, 0},
+		"nobody is heard":            {10 * time.Second, nil, Bound},
+		"something lay in a buffer":  {10 * time.Second, []time.Duration{10 * ms}, Bound},
+		"something is said after it": {10 * time.Second, []time.Duration{10 * ms, 240 * ms}, 250 * ms},
+		"a minute":                   {time.Minute, []time.Duration{150 * ms}, 150 * ms},
+	} {
+		var g Gap
+		now := time.Duration(0)
+		for ; now <= time.Second; now += 50 * ms {
+			if changed, _ := g.Step(now, now); changed || g.Blind() {
+				t.Fatalf("%s: blind at %v", name, now)
+			}
+		}
+		now += c.gap - 50*ms
+		end, blind := now, time.Duration(0)
+		for ; now < end+3*time.Second; now += 50 * ms {
+			heard := time.Duration(0)
+			for _, h := range c.heard {
+				if end+h <= now {
+					heard = end + h
+				}
+			}
+			if g.Step(now, heard); g.Blind() {
+				blind = now - end + 50*ms
+			}
+		}
+		if blind != c.blind {
+			t.Errorf("%s: blind for %v, want %v", name, blind, c.blind)
+		}
+	}
+}
+
+// Whatever the ticks and whatever is heard: never blind for longer than the bound while it runs, never without a gap.
+func TestBlindnessIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var g Gap
+		now, heard, since, gaps := time.Duration(0), time.Duration(0), time.Duration(0), int64(0)
+		for i := range rapid.IntRange(1, 200).Draw(t, "ticks") {
+			pause := time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "pause"))
+			now += pause
+			if rapid.Bool().Draw(t, "heard") {
+				heard = now
+			}
+			if pause > After && i > 0 {
+				since = now
+				gaps++
+			}
+			g.Step(now, heard)
+			if g.Count != gaps || g.Blind() && (gaps == 0 || now-since >= Bound) || pause > After && i > 0 && !g.Blind() {
+				t.Fatalf("%d gaps of %d, blind %v, %v after the last", g.Count, gaps, g.Blind(), now-since)
+			}
+			if wait := g.Wait(now); wait <= 0 || wait > Tick {
+				t.Fatalf("it wants to be asked after %v", wait)
+			}
+		}
+	})
+}
--- a/internal/lab/stage/stage_test.go
+++ b/internal/lab/stage/stage_test.go
@@ -274,6 +274,49 @@
 	}
 }
 
+// A node that was paused notices, looks before it acts, and goes on.
+func TestAPausedNodeLooksBeforeItActs(t *testing.T) {
+	t.Setenv(childEnv, "1")
+	s := script(t, `
+name = "paused"
+seed = 1
+nodes = 3
+for = "6s"
+[traffic]
+rate = 20
+life = "5s"
+[[act]]
+at = "2s"
+who = "nodes:1"
+do = "pause"
+for = "2s"
+[expect]
+lost = 0
+broken = 0
+late_calls = 0
+[expect_least]
+delivered = 200
+`+small)
+	s.Node.Audit, s.Node.Beat, s.Node.Door = true, 250, true
+	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Run(); err != nil {
+		t.Error(err)
+	}
+	if gaps := figureAt("http://"+st.Door(1)+"/ops/stats", "router.gaps:"); gaps < 1 {
+		t.Errorf("%d gaps", gaps)
+	}
+	if r := st.Report(); r.Failed() {
+		r.Print(t.Output())
+		t.Errorf("%v, %v", r.Missed, r.Broken)
+	}
+	if err := st.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // A stage that is opened holds its addresses; closed, it leaves no process behind, and a second one stands beside it.
 func TestTwoStagesStandBesideEachOther(t *testing.T) {
 	t.Setenv(childEnv, "1")
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -24,8 +24,8 @@
 	// Of the list; told only where it is the project's own service's.
 	OwnList                                         bool
 	ListRevision, ListOlder, ListDoubted, ListTurns atomic.Int64
-	listHeard                                       atomic.Int64 // Unix time in nanoseconds of a server's last line
-	ListAsks, ListLater                             atomic.Int64
+	listHeard                                       atomic.Pointer[time.Time] // of a server's last line, on the monotonic clock
+	ListAsks, ListLater, Gaps                       atomic.Int64
 	startList, startCall, startDelivery             atomic.Int64 // milliseconds since the process began, plus 1; 0 for not yet
 
 	times times
@@ -86,7 +86,13 @@
 }
 
 // ListLine notes that a list server has said something.
-func (f *Set) ListLine() { f.listHeard.Store(time.Now().UnixNano()) }
+func (f *Set) ListLine() {
+	now := time.Now()
+	f.listHeard.Store(&now)
+}
+
+// ListHeard is when a server's last line came, or the start.
+func (f *Set) ListHeard() time.Time { return *f.listHeard.Load() }
 
 // PublishFellows brings the figures of membership up to date.
 func (f *Set) PublishFellows(core *membership.Core, now time.Duration) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -407,7 +407,7 @@
 func (n *Node) take(ctx context.Context, batch []any) {
 	began := time.Now()
 	defer func() { n.figures.Stepped(time.Since(began)) }()
-	var events []choice.Event
+	events := n.look()
 	fresh := map[string]arrival{}
 	for _, e := range batch {
 		switch e := e.(type) {
