--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -161,13 +162,13 @@
 
 func printFleet(out io.Writer, v roster.View, states, builds, configs map[string]int) error {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "NODE\tSTATE\tREVISION\tBEHIND\tSINCE\tHEARD\tBUILD\tCONFIG")
+	fmt.Fprintln(t, "NODE\tSTATE\tREVISION\tBEHIND\tSINCE\tHEARD\tBUILD\tCONFIG\tLAST TROUBLE")
 	for _, r := range v.Nodes {
 		behind, since := "-", "-"
 		if r.BehindMS > 0 {
 			behind, since = strconv.FormatInt(v.Head-r.Revision, 10), seconds(r.BehindMS)
 		}
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", r.Name, state(r), r.Revision, behind, since, seconds(r.HeardMS), r.Build, r.Config)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Name, state(r), r.Revision, behind, since, seconds(r.HeardMS), r.Build, r.Config, cmp.Or(r.Why, "-"))
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- a/internal/listwatch/discovery.go
+++ b/internal/listwatch/discovery.go
@@ -108,6 +108,8 @@
 	Later  func()        // and is told to come later; may be nil
 	Heard  func()        // a server has said something
 	Turned func()        // the watch goes to the next server
+	// Trouble hears in few words why the list may be late; may be nil.
+	Trouble func(why string)
 	// check looks at a list before it is taken: it may give another in its place, or refuse it, and with it the server
 	// that told it. Nil takes each as it comes: the platform's discovery says what holds.
 	Check func(ctx context.Context, addr string, l List) (List, error)
@@ -131,6 +133,7 @@
 			continue
 		}
 		w.Log.Debug("list_watch_ended", "addr", s.addr, "err", err)
+		f.trouble(reason(err))
 		var wait time.Duration
 		if wait, held = w.rest(err, s.lists > 0, time.Since(s.began)); held == 0 {
 			w.Turned()
@@ -240,6 +243,7 @@
 			switch links.Step(f.now()) {
 			case Open:
 				f.Log.Warn("list_silent", "addr", first.addr)
+				f.trouble("the link is silent")
 				other = f.open(ctx, first.turn+1, 0)
 			case Renew:
 				turn := first.turn + 1
@@ -289,6 +293,26 @@
 	}
 }
 
+func (f *follower) trouble(why string) {
+	if f.Trouble != nil {
+		f.Trouble(why)
+	}
+}
+
+// reason says in few words why a watch has ended.
+func reason(err error) string {
+	no, status := errors.AsType[*StatusError](err)
+	switch {
+	case errors.Is(err, errOlderList):
+		return "a server told an older list"
+	case status && no.Said:
+		return "a server said to come later"
+	case status:
+		return fmt.Sprintf("a server answered %d", no.Code)
+	}
+	return "the watch ended"
+}
+
 // links begins to look at a server's beats; nil where it has none.
 func (f *follower) links(s *stream) *Links {
 	if s.beat <= 0 {
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -48,6 +48,8 @@
 	now, g := n.now(), &n.audit.gap
 	changed, missed := g.Step(now, n.at(n.figures.ListHeard()))
 	if missed > 0 {
+		why := "the process did not run"
+		n.why.Store(&why)
 		n.log.Warn("gap", "missed", missed)
 		n.figures.Gaps.Add(1)
 	}
@@ -136,7 +138,11 @@
 		return
 	}
 	now := n.now()
-	a.core.Update(now, n.revision, n.cold == nil || n.cold.Ready(), "")
+	why := ""
+	if last := n.why.Load(); last != nil {
+		why = *last
+	}
+	a.core.Update(now, n.revision, n.cold == nil || n.cold.Ready(), why)
 	c, due := a.core.Next(now)
 	if !due {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,7 @@
 	cold      *coldstart.Start            // what the start waits for; nil where the platform names the list
 	stale     listwatch.List              // a kept list that is not in force
 	began     time.Time                   // of this process
+	why       atomic.Pointer[string]      // shared: the list may be late, last; nil for never
 	awaits    atomic.Pointer[awaited]     // shared: nil once there is a list
 	// The list that is known comes from before the start, and no server has confirmed it yet.
 	unconfirmed bool
