--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -32,6 +32,27 @@
 	return &http.Client{Transport: t}
 }
 
+const maxSaid = 64 << 10 // of an answer to a Post
+
+// Post makes one post of JSON to a list server and returns nil if the server has taken it, which it says by 204.
+func Post(ctx context.Context, client *http.Client, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	said, err := io.ReadAll(io.LimitReader(resp.Body, maxSaid)) // so that the connection serves again
+	if err == nil && resp.StatusCode != http.StatusNoContent {
+		err = fmt.Errorf("post: %s: %.100s", resp.Status, bytes.TrimSpace(said))
+	}
+	return err
+}
+
 // The headers by which a server says when to come: Retry-After in whole seconds, as everybody reads it, and the same to
 // the millisecond. A turn is said again with the ask that keeps it.
 const (
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -1,13 +1,11 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"path/filepath"
@@ -19,13 +17,13 @@
 	"harrierramp/internal/atomicfile"
 	"harrierramp/internal/config"
 	"harrierramp/internal/gap"
+	"harrierramp/internal/listwatch"
 	"harrierramp/internal/roster"
 )
 
 const (
 	livesName    = "lives"
 	claimTimeout = 2 * time.Second
-	maxClaimSaid = 4 << 10 // of a server's answer
 )
 
 // audit is how the node tells the list service what it acts on. The loop owns it.
@@ -183,19 +181,5 @@
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/registry/nodes", bytes.NewReader(raw))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	said, err := io.ReadAll(io.LimitReader(resp.Body, maxClaimSaid))
-	if err == nil && resp.StatusCode != http.StatusNoContent {
-		err = fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(said))
-	}
-	return err
+	return listwatch.Post(ctx, client, "http://"+addr+"/registry/nodes", raw)
 }
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -6,8 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -24,7 +22,7 @@
 	// SlowPatience is for a list service that may be slow: one that takes longer than noticeTimeout for every post would
 	// never be heard to take any, and be given each again and again.
 	SlowPatience = 4 * time.Second
-	maxPost      = 64 << 10 // of a post, and of its answer
+	maxPost      = 64 << 10 // of a post, which maxNotices keeps to
 	maxNotices   = 32       // in one post: with the longest ids, every byte escaped, its body stays under 64 KiB
 )
 
@@ -100,21 +98,5 @@
 			return err
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/reports", &body)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxPost)); err != nil { // the connection serves again
-		return err
-	}
-	if resp.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("notices: %s", resp.Status)
-	}
-	return nil
+	return listwatch.Post(ctx, client, "http://"+addr+"/reports", body.Bytes())
 }
