--- a/choice/choice.go
+++ b/choice/choice.go
@@ -136,7 +136,7 @@
 		s.do(Watch{})
 	}
 	s.expire()
-	if !s.leaving && !s.blind { // what is held goes on in the next life; what may have run by then might be lost
+	if !s.leaving && !s.blind { // what is held goes on in the next life, or once it is known what holds
 		s.release()
 		if s.shared() {
 			if s.claims(); s.grant() {
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -338,8 +338,8 @@
 	return best
 }
 
-// found is what all together take as the limit of a route that tells none and has refused: what it passed in its best
-// second, and more with time, for it may take more by now.
+// found is what all take as the limit of a route that tells none and has refused: what it passed in its best
+// second, and more with time.
 func (s *Sender) found(r *route) float64 {
 	if !r.whole || r.cutAt == 0 || r.reported {
 		return 0
@@ -348,7 +348,7 @@
 	return best * (1 + foundGrow*seconds(s.now-r.cutAt))
 }
 
-// begin takes a route whose limit is told for cold where nothing is remembered of it: all may be starting, partners too.
+// begin takes a route whose limit is told for cold where nothing is remembered of it: partners may start too.
 func (s *Sender) begin(e *endpoint, f *route) {
 	if s.cfg.Cautious && s.limit(f) > 0 && s.now-e.dest.claim.beganAt < s.cfg.WarmWithin {
 		s.cool(f)
