End the pause between watches when the servers move, and tick only for beats

A node whose servers are out waited its whole pause after SIGHUP had named others, and where no beat is asked for it woke 20 times a second to look at nothing. The first has a test that fails without it; the ledger of the stage loses a map that nobody read.

--- a/internal/lab/stage/ledger.go
+++ b/internal/lab/stage/ledger.go
@@ -94,7 +94,6 @@
 // nodeSeen is a node as the stage sees it. Times are since its start; -1 for never.
 type nodeSeen struct {
 	started, ready, listed, called, delivered time.Duration
-	conns                                     map[int]int // to each endpoint
 	lateCalls                                 int
 	starts                                    int
 }
@@ -122,7 +121,7 @@
 	l.began.Store(&began)
 	l.judge = judge.New(&l.day)
 	for i := range l.nodes {
-		l.nodes[i] = nodeSeen{-1, -1, -1, -1, -1, map[int]int{}, 0, 0}
+		l.nodes[i] = nodeSeen{started: -1, ready: -1, listed: -1, called: -1, delivered: -1}
 	}
 	for d, spec := range day.Dests {
 		for _, e := range spec.Endpoints {
@@ -361,7 +360,6 @@
 		if at < l.script.Start.Nodes.Duration()+earlySpan {
 			e.mostEarly = max(e.mostEarly, e.open)
 		}
-		n.conns[i]++
 	case partner.Closed:
 		e.open--
 	case partner.HungUp:
--- a/internal/listwatch/discovery.go
+++ b/internal/listwatch/discovery.go
@@ -125,10 +125,11 @@
 		backoff.Sleep(ctx, w.Turns.First())
 	}
 	for turn, held := 0, uint64(0); ctx.Err() == nil; {
-		s := f.open(ctx, turn, held)
-		s, moved, err := f.follow(ctx, s)
+		_, here, cancel := w.At.Here(ctx, turn) // ends also the pause below when the servers move
+		s, err := f.follow(ctx, f.open(ctx, turn, held))
 		held, turn = 0, s.turn
-		if moved {
+		if here.Err() != nil {
+			cancel()
 			w.Pause.Reset() // it has moved, or the node ends
 			continue
 		}
@@ -139,7 +140,8 @@
 			w.Turned()
 			turn++
 		}
-		backoff.Sleep(ctx, wait)
+		backoff.Sleep(here, wait)
+		cancel()
 	}
 }
 
@@ -212,8 +214,8 @@
 }
 
 // follow follows a server to the end of its watch, and another beside it while it is silent. It returns the stream that
-// it followed last, and why that has ended; moved is whether that was since the servers have moved or the node ends.
-func (f *follower) follow(ctx context.Context, first *stream) (last *stream, moved bool, err error) {
+// it followed last, and why that has ended.
+func (f *follower) follow(ctx context.Context, first *stream) (*stream, error) {
 	var other *stream
 	var links *Links
 	defer func() {
@@ -222,8 +224,12 @@
 			other.cancel()
 		}
 	}()
-	ticks := time.NewTicker(max(f.Beat/2, 50*time.Millisecond))
-	defer ticks.Stop()
+	var ticks <-chan time.Time // without beats there is nothing to look at
+	if f.Beat > 0 {
+		t := time.NewTicker(max(f.Beat/2, 50*time.Millisecond))
+		defer t.Stop()
+		ticks = t.C
+	}
 	drop := func() {
 		if other != nil {
 			other.cancel()
@@ -236,7 +242,7 @@
 		var m said
 		select {
 		case m = <-f.said:
-		case <-ticks.C:
+		case <-ticks:
 			if links == nil {
 				continue
 			}
@@ -264,14 +270,14 @@
 			}
 			continue
 		case <-ctx.Done():
-			return first, true, ctx.Err()
+			return first, ctx.Err()
 		}
 		switch {
 		case m.from != first && m.from != other:
 			continue // one that was left
 		case m.err != nil && m.from == first:
 			if other == nil || other.lists == 0 {
-				return first, first.ctx.Err() != nil, m.err
+				return first, m.err
 			}
 			f.Turned()
 			first, other = other, nil
@@ -285,7 +291,7 @@
 		default:
 			err := f.hear(m, first, links)
 			if err != nil && m.from == first {
-				return first, first.ctx.Err() != nil, err
+				return first, err
 			} else if err != nil {
 				drop()
 			}
--- a/internal/listwatch/links_test.go
+++ b/internal/listwatch/links_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"harrierramp/internal/backoff"
 )
 
 const (
@@ -202,3 +204,19 @@
 	cancel()
 	<-done
 }
+
+// A move of the servers ends the pause before the next ask, too.
+func TestAMoveEndsThePause(t *testing.T) {
+	b := newBeating(t, List{Revision: 5, Complete: true, Members: membersOf("a")})
+	at := NewAddresses([]string{"127.0.0.1:1"})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	w := Watcher{
+		Log: slog.New(slog.DiscardHandler), Client: &http.Client{}, At: at, Pause: backoff.Backoff{First: time.Hour, Last: time.Hour},
+		Heard: func() {}, Turned: func() { at.Move([]string{b.srv.Listener.Addr().String()}) }, Tell: func(List) { cancel() },
+	}
+	w.Run(ctx, 0)
+	if err := ctx.Err(); err != context.Canceled {
+		t.Errorf("the list is never heard: %v", err)
+	}
+}
