Keep a record of acts at each node, and audit it against what the list service said

Nobody could say which calls were made by a node that did not know of a withdrawal. With audit.record a node now writes down, before each call is made, on which list it rests, and afterwards when it was written and whether it was heard; bounded, with a checksum a line, readable after a kill. The list service tells its changes with the deciding server's clock (GET /registry/history) and its clock in the answer to a claim, so that clocks of nodes need not agree. harrierramp fleet audit gathers records by doors and from folders and prints calls after a withdrawal, by whom, on which revision and why; what it can't tell it says. The stage holds it against what partners saw (audit_missed, audit_wrong).

Found on the way: a node's first step after a start was not marked, and a start on a kept list gave no reason for being late.

--- a/internal/admin/door.go
+++ b/internal/admin/door.go
@@ -39,6 +39,7 @@
 	WriteMetrics(w io.Writer) error
 	SetLogLevel(name string) error
 	Members(ctx context.Context) (*View, error)
+	Acts(w io.Writer) error // the record of acts, as it stands
 	Disable(ctx context.Context, endpoint string) error
 	Enable(ctx context.Context, endpoint string) error
 	Drain(ctx context.Context, on bool) error
@@ -101,6 +102,12 @@
 			log.Debug("metrics_not_taken", "err", err)
 		}
 	})
+	mux.HandleFunc("GET /ops/acts", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		if err := n.Acts(w); err != nil {
+			log.Debug("acts_not_taken", "err", err)
+		}
+	})
 	mux.HandleFunc("PUT /ops/log/level", func(w http.ResponseWriter, r *http.Request) {
 		if err := n.SetLogLevel(r.URL.Query().Get("level")); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/admin/door_test.go
+++ b/internal/admin/door_test.go
@@ -15,6 +15,7 @@
 // fakeOperators answers the door in a test's place.
 type fakeOperators struct{ no error }
 
+func (f fakeOperators) Acts(io.Writer) error { return nil }
 func (f fakeOperators) NotReady() string {
 	if f.no == nil {
 		return ""
--- /dev/null
+++ b/internal/cli/audit.go
@@ -0,0 +1,188 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"harrierramp/internal/acts"
+)
+
+const (
+	doorsAtOnce = 16
+	maxActs     = 128 << 20 // a record's bound is lower
+)
+
+// fleetGet reads what a list server or a door says.
+func fleetGet(ctx context.Context, url string, most int64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s", url, resp.Status)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, most))
+}
+
+// changes is what the list servers remember: of the one that knows most.
+func (o *fleetOptions) changes(ctx context.Context) (best acts.History, err error) {
+	addrs, err := o.at()
+	if err != nil {
+		return best, err
+	}
+	var errs []error
+	known := false
+	for _, addr := range addrs {
+		raw, err := fleetGet(ctx, "http://"+addr+"/registry/history", maxFleetBody)
+		var h acts.History
+		if err == nil {
+			err = json.Unmarshal(raw, &h)
+		}
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", addr, err))
+			continue
+		}
+		if !known || h.Head > best.Head || h.Head == best.Head && h.Floor < best.Floor {
+			best, known = h, true
+		}
+	}
+	if !known {
+		return best, errors.Join(errs...)
+	}
+	return best, nil
+}
+
+// auditOptions say whose records are read and what counts as late.
+type auditOptions struct {
+	folders     []string
+	doors       []string
+	since       time.Duration
+	grace, slop time.Duration
+}
+
+func (o *fleetOptions) audit() *cobra.Command {
+	var a auditOptions
+	c := &cobra.Command{
+		Use: "audit", Short: "Print which calls went to endpoints that had been withdrawn, by whom and why", Args: none,
+		Long: `Gather the records of acts of running nodes, by their doors, and of folders, hold them against what the list service
+remembers, and print the calls that were made to endpoints after they had been withdrawn or drained and the grace was over:
+by whom, on which revision, and why that node did not know. What can't be told is printed as unknown. The status is 0 if there
+is no such call. Doors are those that nodes tell the list service, or --doors.`,
+		Example: "  harrierramp fleet audit --servers 127.0.0.1:8500\n  harrierramp fleet audit --servers 127.0.0.1:8500 --folders /var/lib/node-7",
+		RunE: func(c *cobra.Command, _ []string) error {
+			h, err := o.changes(c.Context())
+			if err != nil {
+				return err
+			}
+			r, err := o.gather(c.Context(), a, h)
+			if err != nil {
+				return err
+			}
+			if o.asJSON {
+				err = json.NewEncoder(c.OutOrStdout()).Encode(r)
+			} else {
+				err = printAudit(c.OutOrStdout(), r)
+			}
+			if err == nil && len(r.Findings) > 0 {
+				err = fmt.Errorf("%d findings", len(r.Findings))
+			}
+			return err
+		},
+	}
+	c.Flags().StringSliceVar(&a.folders, "folders", nil, "lasting folders of nodes that don't run")
+	c.Flags().StringSliceVar(&a.doors, "doors", nil, "doors of nodes (default: those that the list service knows)")
+	c.Flags().DurationVar(&a.since, "since", 0, "leave earlier calls out (0s for all on record)")
+	c.Flags().DurationVar(&a.grace, "grace", time.Second, "for calls after a withdrawal")
+	c.Flags().DurationVar(&a.slop, "slack", 250*time.Millisecond, "what lies so close to the grace is told as unsure")
+	return c
+}
+
+// gather reads all records and holds them against a history.
+func (o *fleetOptions) gather(ctx context.Context, a auditOptions, h acts.History) (acts.Report, error) {
+	audit := acts.Auditor{History: h, Grace: a.grace, Slack: a.slop}
+	if a.since > 0 {
+		audit.SinceMS = time.Now().Add(-a.since).UnixMilli()
+	}
+	for _, dir := range a.folders {
+		raw, err := acts.ReadDir(dir)
+		if err != nil {
+			return acts.Report{}, err
+		}
+		audit.Add(filepath.Base(dir), raw)
+	}
+	doors := a.doors
+	names := map[string]string{}
+	if len(doors) == 0 {
+		v, silent, err := o.view(ctx)
+		if err != nil {
+			return acts.Report{}, err
+		}
+		for _, s := range silent {
+			audit.Missing(s, "the list server does not answer: nodes that told only it are not looked at")
+		}
+		for _, n := range v.Nodes {
+			if n.Door == "" {
+				audit.Missing(n.Name, "it has no door: give its folder")
+				continue
+			}
+			doors, names[n.Door] = append(doors, n.Door), n.Name
+		}
+	}
+	raws, errs := make([][]byte, len(doors)), make([]error, len(doors))
+	var asks sync.WaitGroup
+	places := make(chan struct{}, doorsAtOnce)
+	for i, door := range doors {
+		places <- struct{}{}
+		asks.Go(func() {
+			raws[i], errs[i] = fleetGet(ctx, "http://"+door+"/ops/acts", maxActs)
+			<-places
+		})
+	}
+	asks.Wait()
+	for i, door := range doors {
+		name := door
+		if n := names[door]; n != "" {
+			name = n
+		}
+		if errs[i] != nil {
+			audit.Missing(name, fmt.Sprintf("its door does not answer: %v", errs[i]))
+			continue
+		}
+		audit.Add(name, raws[i])
+	}
+	return audit.Report(), nil
+}
+
+func printAudit(out io.Writer, r acts.Report) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "NODE\tLIFE\tENDPOINT\tON REVISION\tWITHDRAWN BY\tCALLS\tUNSURE\tLAST AFTER\tWHY")
+	for _, f := range r.Findings {
+		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%d\t%d\t%d\t%s\t%s\n", f.Node, f.Life, f.Endpoint, f.Revision, f.Gone, f.Calls, f.Unsure, seconds(f.LastMS), f.Why)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, u := range r.Unknown {
+		fmt.Fprintf(out, "unknown: %s: %s\n", u.Node, u.Text)
+	}
+	_, err := fmt.Fprintf(out, "%d calls of %d nodes on record\n", r.Calls, r.Nodes)
+	return err
+}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net/http"
 	"os"
 	"slices"
 	"strconv"
@@ -38,7 +37,7 @@
 	var o fleetOptions
 	c := group("fleet", "Ask the list service who of the fleet has applied what",
 		"  harrierramp fleet status --servers 127.0.0.1:8500,127.0.0.1:8510\n  harrierramp fleet wait 68719476799 --share 0.99 --timeout 30s",
-		o.status(), o.wait(), o.history())
+		o.status(), o.wait(), o.history(), o.audit())
 	c.PersistentFlags().StringSliceVar(&o.servers, "servers", nil, "addresses of the list servers (default: registry.addresses of $ROUTER_CONFIG)")
 	c.PersistentFlags().BoolVar(&o.asJSON, "json", false, "answer as JSON")
 	return c
@@ -89,24 +88,14 @@
 }
 
 func fleetView(ctx context.Context, addr string) (*roster.View, error) {
-	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/registry/nodes", nil)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", addr, err)
+	var v roster.View
+	raw, err := fleetGet(ctx, "http://"+addr+"/registry/nodes", maxFleetBody)
+	if err == nil {
+		err = json.Unmarshal(raw, &v)
 	}
-	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", addr, err)
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s: %s", addr, resp.Status)
-	}
-	var v roster.View
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxFleetBody)).Decode(&v); err != nil {
-		return nil, fmt.Errorf("%s: %w", addr, err)
-	}
 	return &v, nil
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -72,13 +72,17 @@
 
 // Audit is the section by which a node tells the list service what it acts on. It needs the section registry.
 type Audit struct {
-	Mark bool `json:"mark" toml:"mark" doc:"calls say which list they rest on, in a header"`
+	Mark   bool `json:"mark" toml:"mark" doc:"calls say which list they rest on, in a header"`
+	Record MiB  `json:"record_mb" toml:"record" max:"64MiB" doc:"the record of acts takes so much of limits.disk at most; none if it is not given"`
 }
 
 func (a *Audit) check(c *Config) error {
 	if a != nil && c.Registry == nil {
 		return errors.New("audit needs the section registry")
 	}
+	if a != nil && a.Record > c.Limits.Disk/2 {
+		return fmt.Errorf("audit.record is %v MiB: half of limits.disk at most", float64(a.Record))
+	}
 	return nil
 }
 
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -55,7 +55,10 @@
 	NoSlot  bool
 	Closed  bool
 	Reused  bool // it went over a connection that had stood idle
-	Report  choice.Report
+	Heard   bool // an answer, read to its end or to what says delivered
+	// The request was written whole between these; zero for one that was not.
+	Writing, Wrote time.Time
+	Report         choice.Report
 }
 
 // Pool makes calls, on connections that it keeps between them.
@@ -208,21 +211,24 @@
 // exchange writes the request, which counts among the tries once it is written whole, and reads the answer; reuse
 // tells that the connection is good for another call.
 func (k *conn) exchange(ctx context.Context, request []byte, tries *atomic.Int64) (res Result, reuse bool) {
+	writing := time.Now()
 	if n, err := k.Write(request); err != nil && n < len(request) {
 		return Result{Outcome: choice.NoRoute}, false // without its last byte the endpoint has not begun it
 	}
+	wrote := time.Now()
 	tries.Add(1)
 	res, reuse, err := k.answer()
-	if err == nil {
-		return res, reuse
-	}
-	switch {
+	switch res.Heard = err == nil; {
+	case res.Heard:
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return Result{Outcome: choice.TooSlow}, false
+		res.Outcome = choice.TooSlow
 	case ctx.Err() != nil:
-		return Result{Outcome: choice.Undone}, false
+		res.Outcome = choice.Undone
+	default:
+		res.Outcome = choice.Cut
 	}
-	return Result{Outcome: choice.Cut}, false
+	res.Writing, res.Wrote = writing, wrote
+	return res, reuse
 }
 
 // answer reads one answer and tells whether the connection may carry another call. One that can't be read to its
--- a/internal/egress/pool_test.go
+++ b/internal/egress/pool_test.go
@@ -48,7 +48,12 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := testkit.NewPartner(t, testkit.Says(c.says))
-			if got := testPool().Do(t.Context(), testCall(endpointAt(p.Addr()))); got != c.want {
+			got := testPool().Do(t.Context(), testCall(endpointAt(p.Addr())))
+			if got.Heard != (c.want.Outcome != choice.Cut) || got.Writing.IsZero() || got.Wrote.Before(got.Writing) {
+				t.Errorf("heard %v, written from %v to %v", got.Heard, got.Writing, got.Wrote)
+			}
+			got.Heard, got.Writing, got.Wrote = false, c.want.Writing, c.want.Wrote
+			if got != c.want {
 				t.Errorf("got %+v, want %+v", got, c.want)
 			}
 		})
--- /dev/null
+++ b/internal/lab/stage/audit.go
@@ -0,0 +1,125 @@
+package stage
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"harrierramp/internal/acts"
+	"harrierramp/internal/lab/process"
+	"harrierramp/internal/lab/relay"
+)
+
+// auditSlack is what a relay and a busy machine may add between a node's write and a partner's look at the clock.
+const auditSlack = 300 * time.Millisecond
+
+// Audit holds the nodes' own records of acts, as they stand in their folders, against what the list servers remember.
+func (st *Stage) Audit() (acts.Report, error) {
+	var best acts.History
+	var errs []error
+	known := false
+	for i := range st.lists {
+		var h acts.History
+		raw, err := get("http://" + process.At(st.block.Own(relay.Party{Kind: relay.Server, N: i}), process.ListPort) + "/registry/history")
+		if err == nil {
+			err = json.Unmarshal(raw, &h)
+		}
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		if !known || h.Head > best.Head {
+			best, known = h, true
+		}
+	}
+	if !known {
+		return acts.Report{}, fmt.Errorf("stage: no list server tells what it remembers: %w", errors.Join(errs...))
+	}
+	a := acts.Auditor{History: best, Grace: st.ledger.day.Settings.DrainGrace + lateSlack, Slack: auditSlack}
+	for i := range st.nodes {
+		name := relay.Party{Kind: relay.Node, N: i}.String()
+		raw, err := acts.ReadDir(filepath.Join(st.dir, name))
+		if err != nil {
+			return acts.Report{}, fmt.Errorf("stage: %w", err)
+		}
+		a.Add(name, raw)
+	}
+	return a.Report(), nil
+}
+
+// auditEntry is what an audit and the ledger are held against each other by.
+type auditEntry struct {
+	node     string
+	life     uint32
+	endpoint string
+	revision int64
+}
+
+// compare holds what an audit has found against what partners have seen. Missed are late calls that it neither found nor
+// told as unsure; false ones it found that were not so. Nodes' records that it told as unreadable, or lives without a clock,
+// are excused: it says that it does not know.
+func compare(late []LateCalls, r acts.Report) (missed, wrong int, text []string) {
+	unknown := map[string]bool{}
+	for _, u := range r.Unknown {
+		unknown[fmt.Sprint(u.Node, " ", u.Life)] = true
+	}
+	found := map[auditEntry]acts.Finding{}
+	for _, f := range r.Findings {
+		k := auditEntry{f.Node, f.Life, f.Endpoint, f.Revision}
+		sum := found[k]
+		sum.Calls, sum.Unsure = sum.Calls+f.Calls, sum.Unsure+f.Unsure
+		found[k] = sum
+	}
+	for _, l := range late {
+		k := auditEntry{relay.Party{Kind: relay.Node, N: l.Node}.String(), l.Life, l.Endpoint, l.Revision}
+		f := found[k]
+		delete(found, k)
+		if unknown[fmt.Sprint(k.node, " ", k.life)] || unknown[fmt.Sprint(k.node, " ", 0)] {
+			continue
+		}
+		if l.Count > f.Calls+f.Unsure {
+			missed += l.Count - f.Calls - f.Unsure
+			text = append(text, fmt.Sprintf("%+v: %d calls are late, the audit has %d, and %d that it is unsure of", k, l.Count, f.Calls, f.Unsure))
+		}
+		if f.Calls > l.Count {
+			wrong += f.Calls - l.Count
+			text = append(text, fmt.Sprintf("%+v: %d calls are late, the audit has %d", k, l.Count, f.Calls))
+		}
+	}
+	for k, f := range found {
+		if f.Calls > 0 {
+			wrong += f.Calls
+			text = append(text, fmt.Sprintf("%+v: no call is late, the audit has %d", k, f.Calls))
+		}
+	}
+	slices.Sort(text)
+	return missed, wrong, text
+}
+
+// holdAudit puts into a report how the nodes' records stand against the ledger.
+func (st *Stage) holdAudit(r *Report) {
+	found, err := st.Audit()
+	if err != nil {
+		r.Missed = append(r.Missed, err.Error())
+		return
+	}
+	missed, wrong, text := compare(r.Late, found)
+	f := r.Figures
+	f["audit_missed"], f["audit_wrong"] = float64(missed), float64(wrong)
+	f["audit_calls"], f["audit_unknown"] = float64(found.Calls), float64(len(found.Unknown))
+	for _, x := range found.Findings {
+		f["audit_late"] += float64(x.Calls)
+		f["audit_unsure"] += float64(x.Unsure)
+	}
+	r.Audit, r.AuditText = &found, text
+}
+
+func sortLate(all []LateCalls) {
+	slices.SortFunc(all, func(a, b LateCalls) int {
+		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Life, b.Life), cmp.Compare(a.Revision, b.Revision))
+	})
+}
--- /dev/null
+++ b/internal/lab/stage/audit_test.go
@@ -0,0 +1,117 @@
+package stage
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"harrierramp/internal/acts"
+	"harrierramp/internal/cli"
+	"harrierramp/internal/lab/process"
+	"harrierramp/internal/lab/relay"
+)
+
+// Half of a fleet goes on calling an endpoint that is withdrawn, since neither list server reaches it, one of it is killed
+// meanwhile and one paused. What the nodes have on record of that equals what partners saw, entry by entry, and the
+// command finds the same by the nodes' doors as the stage in their folders.
+func TestTheAuditEqualsTheLedger(t *testing.T) {
+	t.Setenv(childEnv, "1")
+	s := script(t, `
+name = "audited"
+seed = 1
+nodes = 8
+servers = 2
+for = "9s"
+[traffic]
+rate = 10
+life = "4s"
+[[fault]]
+at = "2s"
+for = "5s"
+from = "servers"
+to = "nodes:0-3"
+cut = true
+[[act]]
+at = "2500ms"
+who = "partners:0"
+do = "withdraw"
+[[act]]
+at = "4500ms"
+who = "nodes:0"
+do = "kill"
+for = "500ms"
+[[act]]
+at = "4s"
+who = "nodes:1"
+do = "pause"
+for = "1500ms"
+[expect]
+broken = 0
+lost = 0
+audit_missed = 0
+audit_wrong = 0
+[expect_least]
+audit_late = 10
+`+small)
+	s.Node.Audit, s.Node.Beat, s.Node.Door, s.Node.Record = true, 250, true, 128
+	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Run(); err != nil {
+		t.Error(err)
+	}
+	r := st.Report()
+	if r.Failed() {
+		r.Print(t.Output())
+		t.Errorf("%v, %v, %v", r.Missed, r.Broken, r.AuditText)
+	}
+	var servers []string // a node tells one of them
+	for i := range s.Servers {
+		servers = append(servers, process.At(st.block.Own(relay.Party{Kind: relay.Server, N: i}), process.ListPort))
+	}
+	var out, errs bytes.Buffer
+	code := cli.Main([]string{"fleet", "audit", "--json", "--servers", strings.Join(servers, ","), "--grace", "1050ms", "--slack", auditSlack.String()}, &out, &errs)
+	var by acts.Report
+	if err := json.Unmarshal(out.Bytes(), &by); err != nil || code != 1 {
+		t.Fatalf("status %d, %v, %s", code, err, errs.String())
+	}
+	if _, wrong, text := compare(r.Late, by); wrong > 0 || len(by.Findings) != len(r.Audit.Findings) {
+		t.Errorf("by the doors %d findings, in the folders %d: %v, unknown %v", len(by.Findings), len(r.Audit.Findings), text, by.Unknown)
+	}
+	for _, f := range by.Findings {
+		if f.Endpoint != "p0-0" || strings.Contains("node-4 node-5 node-6 node-7", f.Node) || f.Gone <= f.Revision || f.Why == "not told" {
+			t.Errorf("%+v", f)
+		}
+	}
+	if err := st.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Each way in which an audit and the ledger can differ is told.
+func TestTheStageSeesAWrongAudit(t *testing.T) {
+	late := []LateCalls{{Endpoint: "p0-0", Node: 1, Life: 2, Revision: 7, Count: 5}}
+	finding := func(calls, unsure int) acts.Report {
+		return acts.Report{Findings: []acts.Finding{{Node: "node-1", Life: 2, Endpoint: "p0-0", Revision: 7, Calls: calls, Unsure: unsure}}}
+	}
+	for name, c := range map[string]struct {
+		late          []LateCalls
+		audit         acts.Report
+		missed, wrong int
+	}{
+		"equal":                {late, finding(5, 0), 0, 0},
+		"partly unsure":        {late, finding(3, 4), 0, 0},
+		"too few":              {late, finding(3, 1), 1, 0},
+		"too many":             {late, finding(6, 0), 0, 1},
+		"nothing":              {late, acts.Report{}, 5, 0},
+		"nothing, and it says": {late, acts.Report{Unknown: []acts.Unknown{{Node: "node-1", Life: 2}}}, 0, 0},
+		"invented":             {nil, finding(2, 0), 0, 2},
+	} {
+		if missed, wrong, text := compare(c.late, c.audit); missed != c.missed || wrong != c.wrong {
+			t.Errorf("%s: missed %d, wrong %d: %v", name, missed, wrong, text)
+		}
+	}
+}
--- a/internal/lab/stage/ledger.go
+++ b/internal/lab/stage/ledger.go
@@ -58,6 +58,16 @@
 	firstRan  time.Duration
 	end       string
 	next      bool // the hand-in that comes is a new try
+	story     []string
+}
+
+const maxStory = 24 // words of a message's story
+
+// tell adds to the message's story, which is printed if it ends badly. The ledger's lock is held.
+func (m *message) tell(at time.Duration, format string, args ...any) {
+	if len(m.story) < maxStory {
+		m.story = append(m.story, fmt.Sprintf("%.3f ", at.Seconds())+fmt.Sprintf(format, args...))
+	}
 }
 
 type call struct {
@@ -113,7 +123,7 @@
 	withdrawn time.Duration // -1 while it is in the list
 	lateCalls int
 	lastLate  time.Duration // after the withdrawal
-	lateBy    map[int]int   // by node
+	lateBy    map[rests]int
 }
 
 func newLedger(s *Script, day model.Day, began time.Time) *ledger {
@@ -126,7 +136,7 @@
 	for d, spec := range day.Dests {
 		for _, e := range spec.Endpoints {
 			l.index[e.ID] = len(l.endpoints)
-			l.endpoints = append(l.endpoints, endpointSeen{id: e.ID, dest: d, withdrawn: -1, lateBy: map[int]int{}})
+			l.endpoints = append(l.endpoints, endpointSeen{id: e.ID, dest: d, withdrawn: -1, lateBy: map[rests]int{}})
 		}
 	}
 	return l
@@ -259,6 +269,7 @@
 	}
 	m.calls, m.taken = nil, false
 	l.byID[m.tryID] = m
+	m.tell(at, "handed in as %s until %.3f", m.tryID, m.until.Seconds())
 	l.observe(model.Event{
 		At: at, What: model.HandedIn, Node: m.node, Msg: m.tryID, First: m.id, Class: m.class, Dest: m.dest, Deadline: m.until, InShare: true,
 	})
@@ -269,6 +280,7 @@
 	at := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	m.tell(at, "told %d, end %v", told, end)
 	switch told {
 	case model.Taken:
 		if m.taken || m.over {
@@ -306,6 +318,7 @@
 		return
 	}
 	m.over, m.end = true, end
+	m.tell(at, "over: %s", end)
 	l.observe(l.answer(m, at, o))
 }
 
@@ -371,7 +384,8 @@
 		b.Calls++
 		e.calls++
 		e.load = max(e.load, s.Load)
-		if l.script.Node.Audit && !marked(s.Header.Get(egress.RestsHeader)) {
+		by, marked := readRests(node, s.Header.Get(egress.RestsHeader))
+		if l.script.Node.Audit && !marked {
 			l.unmarked++
 		}
 		if n.called < 0 {
@@ -380,7 +394,7 @@
 		if grace := l.day.Settings.DrainGrace + lateSlack; e.withdrawn >= 0 && at > e.withdrawn+grace {
 			e.lateCalls++
 			n.lateCalls++
-			e.lateBy[node]++
+			e.lateBy[by]++
 			e.lastLate = at - e.withdrawn
 		}
 		l.called(node, e, s, at)
@@ -397,11 +411,21 @@
 	}
 }
 
-// marked tells whether a call says on which list it rests, and whose it is.
-func marked(text string) bool {
-	var revision, life int64
-	n, err := fmt.Sscanf(text, "%d.%d", &revision, &life)
-	return err == nil && n == 2 && revision > 0 && life > 0
+// rests is whose a call is, and on which list it rests, as the call itself says.
+type rests struct {
+	node     int
+	life     uint32
+	revision int64
+}
+
+// readRests reads the mark of a call of a node; false if there is none.
+func readRests(node int, text string) (rests, bool) {
+	r := rests{node: node}
+	n, err := fmt.Sscanf(text, "%d.%d", &r.revision, &r.life)
+	if err != nil || n != 2 || r.revision <= 0 || r.life == 0 {
+		return rests{node: node}, false
+	}
+	return r, true
 }
 
 // called notes the beginning of a call. The lock is held.
@@ -411,6 +435,7 @@
 		l.breaks("strange", "%s is called by node %d for %q, which nobody has handed in", e.id, node, s.ID)
 		return
 	}
+	m.tell(at, "%s called for %s", e.id, s.ID)
 	if m.tryID != s.ID {
 		return // an earlier try, which its client has been told is over
 	}
@@ -434,6 +459,7 @@
 	if m == nil {
 		return
 	}
+	m.tell(at, "%s ends %s with %d", e.id, s.ID, o)
 	i := slices.IndexFunc(m.calls, func(c *call) bool { return c.from == s.From && c.endpoint == e.id && !c.ended })
 	ev := model.Event{At: at, Node: node, Msg: s.ID, First: m.id, Class: m.class, Dest: e.dest, Endpoint: e.id, Outcome: o}
 	if i >= 0 {
--- a/internal/lab/stage/play.go
+++ b/internal/lab/stage/play.go
@@ -65,6 +65,9 @@
 		name := fmt.Sprintf("server%d_", i)
 		r.Figures[name+"cpu_s"], r.Figures[name+"mb"] = cost.CPU.Seconds(), float64(cost.MostMemory)/(1<<20)
 	}
+	if st.script.Node.Record > 0 {
+		st.holdAudit(r)
+	}
 	r.hold(&st.script)
 	return r
 }
--- a/internal/lab/stage/report.go
+++ b/internal/lab/stage/report.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"harrierramp/internal/acts"
 	"harrierramp/internal/lab/experiment"
 	"harrierramp/internal/lab/judge"
 )
@@ -36,15 +38,21 @@
 	Broken  []string           `json:"broken"`  // rules, 40 at most
 	Missed  []string           `json:"missed"`  // what the script expects and did not see
 	Late    []LateCalls        `json:"late"`
+	Lost    []string           `json:"lost"` // stories of messages without an end, 10 at most
 	Marks   []Mark             `json:"marks"`
 	Bins    []Bin              `json:"bins"` // of 100 ms each
 	Result  *judge.Result      `json:"result"`
+	// Audit is what the nodes' own records of acts say, where they keep them, and AuditText where the ledger differs.
+	Audit     *acts.Report `json:"audit,omitempty"`
+	AuditText []string     `json:"audit_text,omitempty"`
 }
 
 // LateCalls are the calls of a node at an endpoint after that was withdrawn and the grace was over.
 type LateCalls struct {
 	Endpoint string `json:"endpoint"`
 	Node     int    `json:"node"`
+	Life     uint32 `json:"life,omitempty"`     // of the node's process, and
+	Revision int64  `json:"revision,omitempty"` // the list that the calls rest on, where calls are marked
 	Count    int    `json:"count"`
 }
 
@@ -103,7 +111,9 @@
 		if !m.over {
 			end = "lost"
 		}
-		ends[end]++
+		if ends[end]++; end == "lost" && len(r.Lost) < 10 {
+			r.Lost = append(r.Lost, m.id+": "+strings.Join(m.story, "; "))
+		}
 		tries += m.tries
 		repeats += max(m.ran-1, 0)
 		if m.ran > 0 {
@@ -148,10 +158,11 @@
 		f["cold_load"] = max(f["cold_load"], e.load)
 		f["late_calls"] += float64(e.lateCalls)
 		f["last_late_call"] = max(f["last_late_call"], e.lastLate.Seconds())
-		for _, n := range slices.Sorted(maps.Keys(e.lateBy)) {
-			r.Late = append(r.Late, LateCalls{e.id, n, e.lateBy[n]})
+		for by, n := range e.lateBy {
+			r.Late = append(r.Late, LateCalls{e.id, by.node, by.life, by.revision, n})
 		}
 	}
+	sortLate(r.Late)
 	f["fell"], f["strange"], f["crashes"] = float64(fell), float64(l.strange), float64(l.crashes)
 	f["unmarked"] = float64(l.unmarked)
 	r.Result = l.judge.Result()
@@ -229,6 +240,12 @@
 	for _, x := range r.Late {
 		fmt.Fprintf(w, "late: node %d made %d calls at %s after it was withdrawn\n", x.Node, x.Count, x.Endpoint)
 	}
+	for _, x := range r.Lost {
+		fmt.Fprintf(w, "lost: %s\n", x)
+	}
+	for _, x := range r.AuditText {
+		fmt.Fprintf(w, "audit: %s\n", x)
+	}
 	for _, x := range r.Broken {
 		fmt.Fprintf(w, "rule: %s\n", x)
 	}
--- a/internal/lab/stage/script.go
+++ b/internal/lab/stage/script.go
@@ -75,7 +75,8 @@
 	Membership bool         `toml:"membership"`
 	Keep       bool         `toml:"keep"`
 	Door       bool         `toml:"door"`
-	Audit      bool         `toml:"audit"` // nodes tell what they act on, and mark their calls with it
+	Audit      bool         `toml:"audit"`     // nodes tell what they act on, and mark their calls with it
+	Record     int          `toml:"record_kb"` // of the record of acts; with Audit
 	Slots      int          `toml:"slots"`
 	Beat       units.Millis `toml:"beat"` // that list servers are asked for
 	// Weights says whether the list tells what an endpoint takes, in calls a second: none, nominal or rough.
@@ -123,7 +124,7 @@
 	File   string       `toml:"file"`
 }
 
-var acts = map[string][]relay.Kind{
+var doings = map[string][]relay.Kind{
 	"pause": {relay.Node, relay.Server}, "kill": {relay.Node, relay.Server}, "end": {relay.Node, relay.Server},
 	"start": {relay.Node, relay.Server}, "empty": {relay.Node, relay.Server}, "damage": {relay.Node, relay.Server},
 	"fill": {relay.Node, relay.Server}, "withdraw": {relay.Partner}, "return": {relay.Partner}, "shut": {relay.Partner},
@@ -190,6 +191,8 @@
 		return fmt.Errorf("traffic of %v a second and %d at once: up to %d and %d at a node", s.Traffic.Rate, s.Traffic.Burst, maxRate, maxBurst)
 	case !slices.Contains([]string{"none", "nominal", "rough"}, s.Node.Weights):
 		return fmt.Errorf("node.weights is %q: none, nominal or rough", s.Node.Weights)
+	case s.Node.Record < 0 || s.Node.Record > 1024 || s.Node.Record > 0 && !s.Node.Audit:
+		return fmt.Errorf("node.record_kb is %d: up to 1024, and with node.audit", s.Node.Record)
 	case !(s.Traffic.Unsafe >= 0 && s.Traffic.Unsafe <= 1):
 		return fmt.Errorf("traffic.unsafe is %v: a share from 0 to 1", s.Traffic.Unsafe)
 	}
@@ -202,7 +205,7 @@
 		}
 	}
 	for i, a := range s.Acts {
-		kinds, known := acts[a.Do]
+		kinds, known := doings[a.Do]
 		who, err := s.Group(a.Who, rng)
 		if err == nil && !known {
 			err = fmt.Errorf("%q is nothing that can be done", a.Do)
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -34,23 +34,27 @@
 
 const maxSaid = 64 << 10 // of an answer to a Post
 
-// Post makes one post of JSON to a list server and returns nil if the server has taken it, which it says by 204.
-func Post(ctx context.Context, client *http.Client, url string, body []byte) error {
+// ClockHeader says what a list server's clock showed when it took a post, in milliseconds since 1970.
+const ClockHeader = "Registry-Clock-Ms"
+
+// Post makes one post of JSON to a list server. There is no error if the server has taken it, which it says by 204; then
+// the answer's head is returned.
+func Post(ctx context.Context, client *http.Client, url string, body []byte) (http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer resp.Body.Close()
 	said, err := io.ReadAll(io.LimitReader(resp.Body, maxSaid)) // so that the connection serves again
 	if err == nil && resp.StatusCode != http.StatusNoContent {
 		err = fmt.Errorf("post: %s: %.100s", resp.Status, bytes.TrimSpace(said))
 	}
-	return err
+	return resp.Header, err
 }
 
 // The headers by which a server says when to come: Retry-After in whole seconds, as everybody reads it, and the same to
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,7 +25,7 @@
 	OwnList                                         bool
 	ListRevision, ListOlder, ListDoubted, ListTurns atomic.Int64
 	listHeard                                       atomic.Pointer[time.Time] // of a server's last line, on the monotonic clock
-	ListAsks, ListLater, Gaps                       atomic.Int64
+	ListAsks, ListLater, Gaps, ActsLost             atomic.Int64
 	startList, startCall, startDelivery             atomic.Int64 // milliseconds since the process began, plus 1; 0 for not yet
 
 	times times
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -6,10 +6,12 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"path/filepath"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
@@ -35,8 +37,12 @@
 
 	term  context.Context // ends when this process no longer owns the node
 	posts sync.WaitGroup
+	acts  *actsRecord // nil where none is kept
 }
 
+// late notes why the node's list may be late from now on. It may be called from any goroutine.
+func (n *Node) late(why string) { n.why.Store(&why) }
+
 // look has the node look before it acts where it did not run for a while: it sends nothing new until a list server has been
 // heard, or for gap.Bound.
 func (n *Node) look() []choice.Event {
@@ -46,8 +52,7 @@
 	now, g := n.now(), &n.audit.gap
 	changed, missed := g.Step(now, n.at(n.figures.ListHeard()))
 	if missed > 0 {
-		why := "the process did not run"
-		n.why.Store(&why)
+		n.late("the process did not run")
 		n.log.Warn("gap", "missed", missed)
 		n.figures.Gaps.Add(1)
 	}
@@ -61,7 +66,11 @@
 }
 
 // claimed is the end of a claim that was posted.
-type claimed struct{ err error }
+type claimed struct {
+	err   error
+	clock int64 // the server's, in milliseconds; 0 for not told
+	took  time.Duration
+}
 
 // newAudit begins to tell, or is nil where that is off.
 func (n *Node) newAudit(term context.Context) *audit {
@@ -80,7 +89,9 @@
 	}
 	a.core = roster.NewTeller(n.now(), roster.Claim{
 		Name: n.cfg.Name, Incarnation: int64(a.life), Revision: n.revision, Build: build(), Config: configDigest(n.cfg), Ready: n.cold == nil || n.cold.Ready(),
+		Door: n.cfg.Console,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	a.acts = n.newActs(a.life)
 	return a
 }
 
@@ -148,18 +159,23 @@
 	addr, here, cancel := n.discovery.Here(a.term, a.turn)
 	a.posts.Go(func() {
 		defer cancel()
-		err := postClaim(here, n.client, addr, c)
+		began := time.Now()
+		clock, err := postClaim(here, n.client, addr, c)
 		if err != nil {
 			n.log.Debug("claim_not_taken", "addr", addr, "err", err)
 		}
-		n.tell(a.term, claimed{err})
+		n.tell(a.term, claimed{err, clock, time.Since(began)})
 	})
 }
 
 // close waits for what is being told; term has ended.
-func (a *audit) close() {
-	if a != nil {
-		a.posts.Wait()
+func (a *audit) close(log *slog.Logger) {
+	if a == nil {
+		return
+	}
+	a.posts.Wait()
+	if err := a.acts.close(); err != nil {
+		log.Warn("acts_not_closed", "err", err)
 	}
 }
 
@@ -170,16 +186,27 @@
 	}
 	if e.err != nil {
 		n.audit.turn++
+	} else if e.clock > 0 {
+		n.audit.acts.clock(e.clock, e.took)
 	}
 	n.audit.core.Done(n.now(), e.err == nil)
 }
 
-func postClaim(ctx context.Context, client *http.Client, addr string, c roster.Claim) error {
+// postClaim makes a claim, and returns what the server's clock showed when it took it.
+func postClaim(ctx context.Context, client *http.Client, addr string, c roster.Claim) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	raw, err := json.Marshal(c)
 	if err != nil {
-		return err
+		return 0, err
+	}
+	head, err := listwatch.Post(ctx, client, "http://"+addr+"/registry/nodes", raw)
+	if err != nil {
+		return 0, err
+	}
+	clock, err := strconv.ParseInt(head.Get(listwatch.ClockHeader), 10, 64)
+	if err != nil || clock < 0 {
+		clock = 0 // an earlier build
 	}
-	return listwatch.Post(ctx, client, "http://"+addr+"/registry/nodes", raw)
+	return clock, nil
 }
--- a/internal/node/keptlist.go
+++ b/internal/node/keptlist.go
@@ -33,7 +33,11 @@
 	if mb <= 0 {
 		mb = journal.DefaultDiskMB
 	}
-	return mb - 2*float64(keptRoom(c)+learntRoom)/(1<<20)
+	mb -= 2 * float64(keptRoom(c)+learntRoom) / (1 << 20)
+	if c.Audit != nil {
+		mb -= float64(c.Audit.Record)
+	}
+	return mb
 }
 
 func keptList(c config.Config) *listwatch.Kept {
@@ -66,6 +70,7 @@
 	}, n.now(), was)
 	if n.cold.KeptDue(n.now()) {
 		n.unconfirmed = true
+		n.late("a start on a kept list")
 		return known
 	}
 	n.stale = known
@@ -121,6 +126,7 @@
 	if n.cold == nil || !n.cold.KeptDue(n.now()) {
 		return nil
 	}
+	n.late("a start on a kept list")
 	n.log.Warn("kept_list_in_force", "revision", n.stale.Revision, "members", len(n.stale.Members))
 	known := n.stale
 	known.Complete, n.stale = true, listwatch.List{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	m        *journal.Message
 	endpoint *egress.Endpoint // nil for a call of the process that has handed over to this one
 	cancel   context.CancelFunc
+	act      int64 // its number in the record of acts, 0 for none
 }
 
 // Node is a delivery node. One goroutine, in Run, owns all that is not said to be shared.
@@ -239,8 +240,9 @@
 	defer parts.Wait()
 	defer func() {
 		end()
-		n.audit.close()
+		n.audit.close(n.log)
 	}()
+	n.audit = n.newAudit(term)
 	n.step(life, events, nil)
 	follow, after := n.newWatcher(func(l listwatch.List) { n.tell(term, l) }), n.revision
 	parts.Go(func() { follow.Run(term, after) })
@@ -264,7 +266,6 @@
 	if n.peers, err = listenToPeers(term, n.cfg); err != nil {
 		n.log.Error("notes_unavailable", "err", err)
 	}
-	n.audit = n.newAudit(term)
 	if n.fellows = n.newFellows(); n.peers != nil {
 		parts.Go(func() { n.peers.receive(term, n.log, &n.figures.Strangers, n.noted) })
 		defer n.peers.close()
@@ -613,6 +614,9 @@
 		return nil // a predecessor told of it, and then was gone
 	}
 	m := o.m
+	if n.audit != nil {
+		n.audit.acts.ended(o.act, e.Result)
+	}
 	n.learnt.dirty = true
 	n.figures.Attempted(int(e.Outcome), e.took)
 	if n.log.Enabled(context.Background(), slog.LevelDebug) {
@@ -684,6 +688,9 @@
 	for _, a := range fresh { // not refused, so taken on
 		n.acts = append(n.acts, func() { a.reply <- ingress.Answer{} })
 	}
+	if n.audit != nil {
+		n.audit.acts.flush(n.revision, n.why.Load())
+	}
 	if err := n.journal.Flush(); err != nil {
 		n.log.Error("journal_waiting", "acts", len(n.acts), "err", err)
 		return
@@ -752,9 +759,13 @@
 	if n.audit != nil && n.cfg.Audit.Mark {
 		c.Rests = n.version()
 	}
+	var act int64
+	if n.audit != nil {
+		act = n.audit.acts.begun(e.ID)
+	}
 	n.acts = append(n.acts, func() {
 		ctx, cancel := context.WithCancel(ctx)
-		n.out[name] = outCall{p, e, cancel}
+		n.out[name] = outCall{p, e, cancel, act}
 		n.calls.Go(func() {
 			defer cancel()
 			began := time.Now()
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -98,5 +98,6 @@
 			return err
 		}
 	}
-	return listwatch.Post(ctx, client, "http://"+addr+"/reports", body.Bytes())
+	_, err := listwatch.Post(ctx, client, "http://"+addr+"/reports", body.Bytes())
+	return err
 }
--- a/internal/registry/feed.go
+++ b/internal/registry/feed.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"harrierramp/internal/acts"
 )
 
 // maxLines bounds the encoded lines that are kept for watchers at the same revision.
@@ -99,6 +101,13 @@
 	return after == f.h.head || f.h.tells(after)
 }
 
+// told is the changes that are remembered.
+func (f *feed) told() acts.History {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.h.Told()
+}
+
 // head is the revision that holds.
 func (f *feed) head() Revision {
 	f.mu.Lock()
--- a/internal/registry/history.go
+++ b/internal/registry/history.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"harrierramp/internal/acts"
 )
 
 // maxHistory bounds how many changes are kept for watchers that come with an older revision.
@@ -21,8 +23,9 @@
 }
 
 type change struct {
-	rev Revision
-	m   Member
+	rev  Revision
+	m    Member
+	atMS int64 // List.AtMS
 }
 
 // NewHistory knows nothing yet.
@@ -39,7 +42,7 @@
 			delete(h.members, m.ID)
 		}
 		if !l.Complete {
-			h.ring = append(h.ring, change{l.Revision, m})
+			h.ring = append(h.ring, change{l.Revision, m, l.AtMS})
 		}
 	}
 	if over := len(h.ring) - maxHistory; over > 0 {
@@ -57,6 +60,15 @@
 	return after >= h.floor && after > 0 && h.past.holds(after, h.head)
 }
 
+// Told is what an audit holds the acts of nodes against: the changes in the ring.
+func (h *History) Told() acts.History {
+	out := acts.History{Floor: int64(h.floor), Head: int64(h.head), Changes: make([]acts.Change, 0, len(h.ring))}
+	for _, c := range h.ring {
+		out.Changes = append(out.Changes, acts.Change{Revision: int64(c.rev), AtMS: c.atMS, ID: c.m.ID, Phase: c.m.Phase})
+	}
+	return out
+}
+
 // Since is what leads from a revision to the list of now: the latest state of all that changed, or the whole list
 // when that can't be told.
 func (h *History) Since(after Revision) List {
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -80,6 +80,7 @@
 	mux.HandleFunc("DELETE /registry/instances/{id}", s.renewals(s.withdraw))
 	mux.HandleFunc("POST /registry/nodes", s.renewals(s.claimed))
 	mux.HandleFunc("GET /registry/nodes", s.nodes)
+	mux.HandleFunc("GET /registry/history", func(w http.ResponseWriter, _ *http.Request) { s.answer(w, s.feed.told()) })
 	mux.HandleFunc("POST /reports", s.report)
 	mux.HandleFunc("GET /reports", s.reported)
 	return mux
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -57,6 +57,8 @@
 	Lineage  lineage  `json:"lineage,omitempty"`
 	// Settling says that the list was begun anew, and that instances which are there may not have registered yet.
 	Settling bool `json:"settling,omitempty"`
+	// AtMS is when the server that decided a change took it, by its clock. Only servers tell each other, and the audit.
+	AtMS int64 `json:"at_ms,omitempty"`
 }
 
 // public is the list as anybody may see it.
--- a/internal/registry/roster.go
+++ b/internal/registry/roster.go
@@ -4,9 +4,11 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"harrierramp/internal/listwatch"
 	"harrierramp/internal/roster"
 )
 
@@ -37,6 +39,7 @@
 		s.refuse(w, err)
 		return
 	}
+	w.Header().Set(listwatch.ClockHeader, strconv.FormatInt(time.Now().UnixMilli(), 10))
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -235,6 +235,7 @@
 	for i, o := range batch {
 		l, reply, err := o.plan(now)
 		if results[i] = (result{reply, err}); err == nil && l.Revision != 0 {
+			l.AtMS = time.Now().UnixMilli()
 			s.cat.Apply(now, l)
 			lists, changes[i] = append(lists, l), l
 		}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -31,7 +31,8 @@
 	Build       string `json:"build"`
 	Config      string `json:"config"` // a digest of what counts of its configuration
 	Ready       bool   `json:"ready"`
-	Why         string `json:"why,omitempty"` // it was behind, last
+	Door        string `json:"door,omitempty"` // of its operators
+	Why         string `json:"why,omitempty"`  // it was behind, last
 }
 
 // Errors of a claim.
@@ -42,7 +43,7 @@
 )
 
 func (c Claim) check(head int64) error {
-	for name, word := range map[string]string{"name": c.Name, "build": c.Build, "config": c.Config} {
+	for name, word := range map[string]string{"name": c.Name, "build": c.Build, "config": c.Config, "door": c.Door} {
 		bad := func(r rune) bool { return r <= ' ' || r > '~' }
 		if len(word) > maxWord || name == "name" && word == "" || slices.ContainsFunc([]rune(word), bad) {
 			return fmt.Errorf("%w: %s %.70q", ErrBad, name, word)
