Tell a message that is handed in twice in one step the same twice

When the node runs again, all copies come in one step. The first was journaled and put to the module, the next were answered +OK at once, since the message was known; then the module refused the first, and the message was forgotten: taken on and never ended.

A copy that comes while the first is undecided now waits for the first's answer. TestAMessageHandedInTwiceAtOnce: three copies are told the same; before, the second and third were told that a refused message is taken on.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,6 +111,7 @@
 	arrival struct {
 		ingress.Request
 		reply chan ingress.Answer
+		also  []chan ingress.Answer // of the same message, handed in again in the same step
 	}
 	called struct {
 		attempt
@@ -448,6 +449,11 @@
 				events = append(events, news)
 			}
 		case arrival:
+			if first, undecided := fresh[e.ID]; undecided { // what the first is told holds for both
+				first.also = append(first.also, e.reply)
+				fresh[e.ID] = first
+				continue
+			}
 			if refusal, ok := n.accept(e); !ok {
 				e.reply <- refusal
 				continue
@@ -468,7 +474,7 @@
 		for id, a := range fresh {
 			n.figures.Shed(a.Class)
 			n.forget(n.messages[id])
-			a.reply <- ingress.Answer{Refused: true}
+			a.answer(ingress.Answer{Refused: true})
 		}
 		fresh = nil
 	}
@@ -479,6 +485,14 @@
 	n.step(ctx, events, fresh)
 }
 
+// answer tells all who wait for it. Their channels have room.
+func (a arrival) answer(told ingress.Answer) {
+	a.reply <- told
+	for _, r := range a.also {
+		r <- told
+	}
+}
+
 // accept journals a new message, or tells what to answer in place of asking the module.
 func (n *Node) accept(a arrival) (ingress.Answer, bool) {
 	switch {
@@ -686,7 +700,7 @@
 	n.keepList()
 	n.keepLearnt()
 	for _, a := range fresh { // not refused, so taken on
-		n.acts = append(n.acts, func() { a.reply <- ingress.Answer{} })
+		n.acts = append(n.acts, func() { a.answer(ingress.Answer{}) })
 	}
 	if n.audit != nil {
 		n.audit.acts.flush(n.revision, n.why.Load())
@@ -731,7 +745,7 @@
 		if e.Failed {
 			reply = ingress.Answer{Failed: "the message failed"}
 		}
-		n.acts = append(n.acts, func() { a.reply <- reply })
+		n.acts = append(n.acts, func() { a.answer(reply) })
 		return
 	}
 	n.held--
--- /dev/null
+++ b/internal/node/twice_test.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"harrierramp/internal/handover"
+	"harrierramp/internal/ingress"
+)
+
+// A message that is handed in twice within one step is told the same twice: before, the second was told that it is taken on
+// while the first was refused, and nobody had it.
+func TestAMessageHandedInTwiceAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		life    time.Duration
+		refused bool
+	}{"taken on": {10 * time.Second, false}, "out of time": {time.Millisecond, true}} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			cfg, err := loadConfig(writeConfig(t, "127.0.0.1:1", "127.0.0.1:1", serving("e", "127.0.0.1:9", 7, "DRAINING")), dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			n := New(cfg, slog.New(slog.DiscardHandler))
+			events, err := n.begin(handover.Claim{}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer n.journal.Close()
+			n.step(t.Context(), events, nil)
+			var batch []any
+			var replies []chan ingress.Answer
+			for range 3 {
+				a := arrival{
+					Request: ingress.Request{ID: "x", Dest: 7, Life: c.life, Came: time.Now().Add(-20 * time.Millisecond)},
+					reply:   make(chan ingress.Answer, 1),
+				}
+				batch, replies = append(batch, a), append(replies, a.reply)
+			}
+			n.take(t.Context(), batch)
+			for i, r := range replies {
+				if got := <-r; got.Refused != c.refused {
+					t.Errorf("hand-in %d of 3 is told %+v", i+1, got)
+				}
+			}
+			if held := n.messages["x"] != nil; held == c.refused {
+				t.Errorf("the node has the message: %v", held)
+			}
+		})
+	}
+}
