Shut out who knows that it is behind and can't follow, and bring it up by another server

With audit.shut_out nodes tell each other by datagrams of 11 bytes which revision they act on (internal/straggler, a core stepped with time): one a period of 0.4 s, two for a change. Who hears from two others that they act on a later list asks another list server beside the one it follows, after 0.3 s begins nothing new, refuses hand-ins with a wait and says not ready, and comes back spread over a second. Who hears nobody goes on: an outage stops nothing. No single node moves anybody.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -106,6 +106,8 @@
 		return "silent"
 	case r.BehindMS > 0:
 		return "behind"
+	case r.Out:
+		return "shut out"
 	case !r.Ready:
 		return "not ready"
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -72,8 +72,9 @@
 
 // Audit is the section by which a node tells the list service what it acts on. It needs the section registry.
 type Audit struct {
-	Mark   bool `json:"mark" toml:"mark" doc:"calls say which list they rest on, in a header"`
-	Record MiB  `json:"record_mb" toml:"record" max:"64MiB" doc:"the record of acts takes so much of limits.disk at most; none if it is not given"`
+	Mark    bool `json:"mark" toml:"mark" doc:"calls say which list they rest on, in a header"`
+	ShutOut bool `json:"shut_out" toml:"shut_out" doc:"nodes tell each other by datagrams which list they act on, and one that can't follow stops calling"`
+	Record  MiB  `json:"record_mb" toml:"record" max:"64MiB" doc:"the record of acts takes so much of limits.disk at most; none if it is not given"`
 }
 
 func (a *Audit) check(c *Config) error {
--- a/internal/lab/stage/audit_test.go
+++ b/internal/lab/stage/audit_test.go
@@ -91,6 +91,59 @@
 	}
 }
 
+// Both list servers fall silent towards some nodes while an endpoint is withdrawn: they hear from the others that the list
+// has moved on, and stop calling before the grace is over by half a second; with all of it mended they deliver again.
+func TestWhoCantFollowIsShutOut(t *testing.T) {
+	t.Setenv(childEnv, "1")
+	s := script(t, `
+name = "shut out"
+seed = 1
+nodes = 6
+servers = 2
+for = "10s"
+[traffic]
+rate = 10
+life = "5s"
+[[fault]]
+at = "2s"
+for = "5s"
+from = "servers"
+to = "nodes:0-1"
+cut = true
+[[act]]
+at = "2500ms"
+who = "partners:0"
+do = "withdraw"
+[expect]
+broken = 0
+lost = 0
+last_late_call = 1.5
+[expect_least]
+busy = 20
+delivered = 300
+`+small)
+	s.Node.Audit, s.Node.ShutOut, s.Node.Beat, s.Node.Door = true, true, 250, true
+	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Run(); err != nil {
+		t.Error(err)
+	}
+	for n := range s.Nodes {
+		if outs := figureAt("http://"+st.Door(n)+"/ops/stats", "router.shut_outs:"); (outs > 0) != (n < 2) {
+			t.Errorf("node %d was shut out %d times", n, outs)
+		}
+	}
+	if r := st.Report(); r.Failed() {
+		r.Print(t.Output())
+		t.Errorf("%v, %v", r.Missed, r.Broken)
+	}
+	if err := st.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Each way in which an audit and the ledger can differ is told.
 func TestTheStageSeesAWrongAudit(t *testing.T) {
 	late := []LateCalls{{Endpoint: "p0-0", Node: 1, Life: 2, Revision: 7, Count: 5}}
--- a/internal/lab/stage/script.go
+++ b/internal/lab/stage/script.go
@@ -75,7 +75,8 @@
 	Membership bool         `toml:"membership"`
 	Keep       bool         `toml:"keep"`
 	Door       bool         `toml:"door"`
-	Audit      bool         `toml:"audit"`     // nodes tell what they act on, and mark their calls with it
+	Audit      bool         `toml:"audit"` // nodes tell what they act on, and mark their calls with it
+	ShutOut    bool         `toml:"shut_out"`
 	Record     int          `toml:"record_kb"` // of the record of acts; with Audit
 	Slots      int          `toml:"slots"`
 	Beat       units.Millis `toml:"beat"` // that list servers are asked for
--- a/internal/lab/stage/settings.go
+++ b/internal/lab/stage/settings.go
@@ -68,7 +68,7 @@
 		c["console"] = process.At(st.block.Own(self), process.DoorPort)
 	}
 	if st.script.Node.Audit {
-		c["audit"] = map[string]any{"mark": true, "record_mb": float64(st.script.Node.Record) / 1024}
+		c["audit"] = map[string]any{"mark": true, "shut_out": st.script.Node.ShutOut, "record_mb": float64(st.script.Node.Record) / 1024}
 	}
 	if st.script.Node.Membership {
 		c["membership"] = map[string]any{}
--- a/internal/listwatch/discovery.go
+++ b/internal/listwatch/discovery.go
@@ -24,6 +24,15 @@
 	// Settling says that the list service has begun anew: endpoints that are there may not be in the list yet. The
 	// platform's discovery never says so.
 	Settling bool `json:"settling,omitempty"`
+	// Floor is what the list service asks of every node; the platform's discovery asks nothing.
+	Floor *Floor `json:"floor,omitempty"`
+}
+
+// Floor is the least that a node has to be to act at all. What is empty or 0 is not asked for.
+type Floor struct {
+	Revision int64  `json:"revision,omitempty"` // of the list that it acts on
+	Build    string `json:"build,omitempty"`
+	Config   string `json:"config,omitempty"` // the digest of its configuration
 }
 
 // Member is one endpoint of a List.
@@ -108,6 +117,8 @@
 	Later  func()        // and is told to come later; may be nil
 	Heard  func()        // a server has said something
 	Turned func()        // the watch goes to the next server
+	// Nudged asks for another server beside the one that is followed: others act on a later list. May be nil.
+	Nudged <-chan struct{}
 	// Trouble hears in few words why the list may be late; may be nil.
 	Trouble func(why string)
 	// check looks at a list before it is taken: it may give another in its place, or refuse it, and with it the server
@@ -218,6 +229,7 @@
 func (f *follower) follow(ctx context.Context, first *stream) (*stream, error) {
 	var other *stream
 	var links *Links
+	nudged := false // the other is asked since the first may be behind
 	defer func() {
 		first.cancel()
 		if other != nil {
@@ -234,6 +246,7 @@
 		if other != nil {
 			other.cancel()
 		}
+		nudged = false
 		if other = nil; links != nil {
 			links.Lost()
 		}
@@ -269,6 +282,14 @@
 				links = f.links(first)
 			}
 			continue
+		case <-f.Nudged:
+			turn := first.turn + 1
+			if other != nil {
+				turn = other.turn + 1
+			}
+			drop()
+			other, nudged = f.open(ctx, turn, 0), true
+			continue
 		case <-ctx.Done():
 			return first, ctx.Err()
 		}
@@ -289,7 +310,19 @@
 				links = f.links(first)
 			}
 		default:
+			known := f.after
 			err := f.hear(m, first, links)
+			if err == nil && m.from == other && nudged && m.text != nil {
+				if nudged = false; f.after > known { // it knows more
+					f.Log.Warn("list_server_left", "addr", first.addr, "for", other.addr)
+					f.Turned()
+					first.cancel()
+					first, other = other, nil
+					links = f.links(first)
+					continue
+				}
+				drop() // it knows no more
+			}
 			if err != nil && m.from == first {
 				return first, err
 			} else if err != nil {
@@ -299,6 +332,14 @@
 	}
 }
 
+// Nudge asks a Watcher that is Nudged by the channel for another server, and never waits.
+func Nudge(nudged chan<- struct{}) {
+	select {
+	case nudged <- struct{}{}:
+	default:
+	}
+}
+
 func (f *follower) trouble(why string) {
 	if f.Trouble != nil {
 		f.Trouble(why)
--- a/internal/listwatch/links_test.go
+++ b/internal/listwatch/links_test.go
@@ -157,52 +157,108 @@
 	return b
 }
 
-// A link that goes silent while its connection stays open is met within a few beats: the other server's list holds.
-func TestASilentLinkIsMetByAnotherServer(t *testing.T) {
+// watching is a watcher of two servers, the first of which it begins with.
+type watching struct {
+	servers []*beating
+	told    chan int64
+	turned  atomic.Int64
+	nudged  chan struct{}
+}
+
+func watchTwo(t *testing.T) *watching {
 	before := List{Revision: 5, Complete: true, Members: membersOf("a", "b")}
-	servers := []*beating{newBeating(t, before), newBeating(t, before)}
+	x := &watching{servers: []*beating{newBeating(t, before), newBeating(t, before)}, told: make(chan int64, 100), nudged: make(chan struct{}, 1)}
 	var addrs []string
-	for _, s := range servers {
+	for _, s := range x.servers {
 		addrs = append(addrs, s.srv.Listener.Addr().String())
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	told := make(chan int64, 100)
 	at := NewAddresses(addrs)
 	at.first = 0
-	var turned atomic.Int64
+	ctx, cancel := context.WithCancel(t.Context())
+	known := int64(0)
 	w := Watcher{
 		Log: slog.New(slog.NewTextHandler(t.Output(), nil)), Client: &http.Client{}, At: at, Turns: &fixedTurns{}, Beat: realBeat,
-		Heard: func() {}, Turned: func() { turned.Add(1) }, Tell: func(l List) { told <- l.Revision },
+		Heard: func() {}, Turned: func() { x.turned.Add(1) }, Tell: func(l List) { x.told <- l.Revision }, Nudged: x.nudged,
+		Check: func(_ context.Context, _ string, l List) (List, error) {
+			if l.Revision < known {
+				return l, errOlderList
+			}
+			known = l.Revision
+			return l, nil
+		},
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		w.Run(ctx, 0)
 	}()
-	if got := <-told; got != 5 {
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	if got := <-x.told; got != 5 {
 		t.Fatalf("revision %d", got)
 	}
-	time.Sleep(8 * realBeat)
-	if servers[1].asks != 0 || turned.Load() != 0 {
-		t.Errorf("at rest the other is asked %d times", servers[1].asks)
-	}
-	servers[0].stalled.Store(true)
+	return x
+}
+
+func (b *beating) asked() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.asks
+}
+
+// change gives the second server a list that the first does not have.
+func (x *watching) change() {
+	x.servers[1].mu.Lock()
+	defer x.servers[1].mu.Unlock()
+	x.servers[1].list = List{Revision: 6, Members: []Member{{ID: "a", Phase: "DELETED"}}}
+}
+
+// until waits for a revision, and tells how long that took.
+func (x *watching) until(revision int64) time.Duration {
 	began := time.Now()
-	servers[1].mu.Lock()
-	servers[1].list = List{Revision: 6, Members: []Member{{ID: "a", Phase: "DELETED"}}}
-	servers[1].mu.Unlock()
-	for got := int64(0); got != 6; got = <-told {
+	for got := int64(0); got != revision; got = <-x.told {
 	}
-	if took := time.Since(began); took > 20*realBeat {
+	return time.Since(began)
+}
+
+// A link that goes silent while its connection stays open is met within a few beats: the other server's list holds.
+func TestASilentLinkIsMetByAnotherServer(t *testing.T) {
+	x := watchTwo(t)
+	time.Sleep(8 * realBeat)
+	if x.servers[1].asked() != 0 || x.turned.Load() != 0 {
+		t.Errorf("at rest the other is asked %d times", x.servers[1].asked())
+	}
+	x.servers[0].stalled.Store(true)
+	x.change()
+	if took := x.until(6); took > 20*realBeat {
 		t.Errorf("the other's list holds after %v", took)
 	}
-	servers[0].stalled.Store(false) // it may beat again, and is not gone back to
+	x.servers[0].stalled.Store(false) // it may beat again, and is not gone back to
 	time.Sleep(8 * realBeat)
-	if turned.Load() != 1 {
-		t.Errorf("%d turns", turned.Load())
+	if x.turned.Load() != 1 {
+		t.Errorf("%d turns", x.turned.Load())
+	}
+}
+
+// Who hears that others act on a later list asks another server beside the one that is behind, and follows that if it knows
+// more; if it does not, the first is kept.
+func TestANudgedWatcherFindsWhoKnowsMore(t *testing.T) {
+	x := watchTwo(t)
+	Nudge(x.nudged)
+	time.Sleep(4 * realBeat)
+	if x.turned.Load() != 0 || x.servers[1].asked() != 1 {
+		t.Errorf("%d turns, %d asks, and the other knows no more", x.turned.Load(), x.servers[1].asked())
+	}
+	x.change()
+	Nudge(x.nudged)
+	x.until(6)
+	Nudge(x.nudged) // the first is behind
+	time.Sleep(4 * realBeat)
+	if x.turned.Load() != 1 {
+		t.Errorf("%d turns", x.turned.Load())
 	}
-	cancel()
-	<-done
 }
 
 // A move of the servers ends the pause before the next ask, too.
--- a/internal/metrics/figure.go
+++ b/internal/metrics/figure.go
@@ -53,6 +53,8 @@
 		counter("router.list_later", "list_told_later_total", "Of those, asks that were told when to come.", nil, f.ListLater.Load())
 		counter("router.gaps", "gaps_total", "Times that the process did not run for over a second; counted with the section audit.", nil, f.Gaps.Load())
 		counter("router.acts_lost", "acts_lost_total", "Lines of the record of acts that could not be written.", nil, f.ActsLost.Load())
+		counter("router.shut_outs", "shut_outs_total", "Times that the node was shut out, since others acted on a later list and it could not follow.", nil, f.ShutOuts.Load())
+		gauge("router.list_ahead", "list_ahead", "Revisions that others are ahead, as they say themselves; 0 for none.", f.ListAhead.Load())
 		gauge("router.start_list_ms", "start_list_milliseconds", "From the process's beginning to a server's first list; -1 for not yet.", f.startList.Load()-1)
 		gauge("router.start_call_ms", "start_call_milliseconds", "To the first call; -1 for not yet.", f.startCall.Load()-1)
 		gauge("router.start_delivery_ms", "start_delivery_milliseconds", "To the first delivery; -1 for not yet.", f.startDelivery.Load()-1)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -22,11 +22,11 @@
 	present, suspects, agreedAgo, health        atomic.Int64
 	refuted, probes, missed, strange, Strangers atomic.Int64
 	// Of the list; told only where it is the project's own service's.
-	OwnList                                         bool
-	ListRevision, ListOlder, ListDoubted, ListTurns atomic.Int64
-	listHeard                                       atomic.Pointer[time.Time] // of a server's last line, on the monotonic clock
-	ListAsks, ListLater, Gaps, ActsLost             atomic.Int64
-	startList, startCall, startDelivery             atomic.Int64 // milliseconds since the process began, plus 1; 0 for not yet
+	OwnList                                                  bool
+	ListRevision, ListOlder, ListDoubted, ListTurns          atomic.Int64
+	listHeard                                                atomic.Pointer[time.Time] // of a server's last line, on the monotonic clock
+	ListAsks, ListLater, Gaps, ActsLost, ShutOuts, ListAhead atomic.Int64
+	startList, startCall, startDelivery                      atomic.Int64 // milliseconds since the process began, plus 1; 0 for not yet
 
 	times times
 }
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -15,7 +15,6 @@
 	"sync"
 	"time"
 
-	"harrierramp/choice"
 	"harrierramp/internal/atomicfile"
 	"harrierramp/internal/config"
 	"harrierramp/internal/gap"
@@ -45,9 +44,9 @@
 
 // look has the node look before it acts where it did not run for a while: it sends nothing new until a list server has been
 // heard, or for gap.Bound.
-func (n *Node) look() []choice.Event {
+func (n *Node) look() {
 	if n.audit == nil {
-		return nil
+		return
 	}
 	now, g := n.now(), &n.audit.gap
 	changed, missed := g.Step(now, n.at(n.figures.ListHeard()))
@@ -56,13 +55,9 @@
 		n.log.Warn("gap", "missed", missed)
 		n.figures.Gaps.Add(1)
 	}
-	if !changed {
-		return nil
-	}
-	if !g.Blind() {
+	if changed && !g.Blind() {
 		n.log.Info("gap_over", "list_revision", n.revision)
 	}
-	return []choice.Event{choice.Blind{On: g.Blind()}}
 }
 
 // claimed is the end of a claim that was posted.
@@ -88,7 +83,7 @@
 		n.log.Warn("lives_not_kept", "err", err)
 	}
 	a.core = roster.NewTeller(n.now(), roster.Claim{
-		Name: n.cfg.Name, Incarnation: int64(a.life), Revision: n.revision, Build: build(), Config: configDigest(n.cfg), Ready: n.cold == nil || n.cold.Ready(),
+		Name: n.cfg.Name, Incarnation: int64(a.life), Revision: n.revision, Build: build(), Config: configDigest(n.cfg), Ready: n.ready(),
 		Door: n.cfg.Console,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	a.acts = n.newActs(a.life)
@@ -120,6 +115,9 @@
 	return hex.EncodeToString(sum[:6])
 }
 
+// ready tells whether the node takes messages, as far as what it knows goes.
+func (n *Node) ready() bool { return (n.cold == nil || n.cold.Ready()) && !n.ward.out() && !n.unfit }
+
 // version is what a call rests on, for a header; empty where that is not told.
 func (n *Node) version() string {
 	if n.audit == nil {
@@ -151,7 +149,7 @@
 	if last := n.why.Load(); last != nil {
 		why = *last
 	}
-	a.core.Update(now, n.revision, n.cold == nil || n.cold.Ready(), why)
+	a.core.Update(now, n.revision, n.ready(), n.ward.out() || n.unfit, why)
 	c, due := a.core.Next(now)
 	if !due {
 		return
--- a/internal/node/keptlist.go
+++ b/internal/node/keptlist.go
@@ -98,11 +98,13 @@
 
 // awaiting says what the start waits for, and since when; empty once it is ready. It may be called from any goroutine.
 func (n *Node) awaiting() string {
-	a := n.awaits.Load()
-	if a == nil {
-		return ""
+	if a := n.awaits.Load(); a != nil {
+		return fmt.Sprintf("waiting for the list since %.1f s: %s", time.Since(a.since).Seconds(), a.reason)
 	}
-	return fmt.Sprintf("waiting for the list since %.1f s: %s", time.Since(a.since).Seconds(), a.reason)
+	if a := n.outcast.Load(); a != nil {
+		return fmt.Sprintf("shut out since %.1f s: %s", time.Since(a.since).Seconds(), a.reason)
+	}
+	return ""
 }
 
 // begun notes the first list of a server's, which ends the wait for one.
--- a/internal/node/listservice.go
+++ b/internal/node/listservice.go
@@ -22,7 +22,7 @@
 	}
 	if n.cfg.Registry != nil {
 		w.Turns, w.Begin, w.Check = n.turn(), n.cold != nil && !n.cold.Whole(), n.newDoubt().Check
-		w.Trouble = n.late
+		w.Trouble, w.Nudged = n.late, n.nudge
 		w.Beat = n.cfg.Registry.Beat.Duration()
 		w.Asked, w.Later = func() { n.figures.ListAsks.Add(1) }, func() { n.figures.ListLater.Add(1) }
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,12 +66,18 @@
 	journal   *journal.Journal
 	pool      *egress.Pool
 	client    *http.Client
-	Level     *slog.LevelVar       // of log, for operators to change; nil if they may not
-	discovery *listwatch.Addresses // shared
-	peers     *peers               // nil if the fleet has no datagrams
-	fellows   *fellows             // nil without membership
-	audit     *audit               // nil where nothing is told
-	lock      *os.File             // this process owns the node while it has it
+	Level     *slog.LevelVar          // of log, for operators to change; nil if they may not
+	discovery *listwatch.Addresses    // shared
+	peers     *peers                  // nil if the fleet has no datagrams
+	fellows   *fellows                // nil without membership
+	audit     *audit                  // nil where nothing is told
+	ward      *ward                   // nil where nobody is shut out
+	nudge     chan struct{}           // has the watcher ask another list server
+	outcast   atomic.Pointer[awaited] // shared: nil unless the node is shut out
+	blind     bool                    // the module was told so
+	unfit     bool                    // by the list service's floor
+	floor     listwatch.Floor
+	lock      *os.File // this process owns the node while it has it
 	orders    *orders
 	clients   *ingress.Server // shared
 	figures   *metrics.Set    // shared
@@ -141,6 +147,7 @@
 		client:    listwatch.NewClient(cfg.From()),
 		discovery: listwatch.NewAddresses(cfg.DiscoveryAt()),
 		events:    make(chan any, eventQueue), notices: make(chan []outbox.Notice), asks: make(chan *handover.Link),
+		nudge:    make(chan struct{}, 1),
 		messages: map[string]*journal.Message{}, out: map[attempt]outCall{}, eps: map[string]*egress.Endpoint{},
 		waits: map[int]*atomic.Int64{}, dests: map[int]bool{}, named: map[string]bool{},
 	}
@@ -267,6 +274,7 @@
 	if n.peers, err = listenToPeers(term, n.cfg); err != nil {
 		n.log.Error("notes_unavailable", "err", err)
 	}
+	n.ward = n.newWard()
 	if n.fellows = n.newFellows(); n.peers != nil {
 		parts.Go(func() { n.peers.receive(term, n.log, &n.figures.Strangers, n.noted) })
 		defer n.peers.close()
@@ -403,19 +411,21 @@
 	if n.cold != nil && n.cold.Wake() > 0 {
 		wait = min(wait, max(n.cold.Wake()-n.now(), 0))
 	}
-	return min(wait, n.fellows.wait(n.now()), n.audit.wait(n.now()))
+	return min(wait, n.fellows.wait(n.now()), n.audit.wait(n.now()), n.ward.wait(n.now()))
 }
 
 // take turns a batch into the module's events, and steps.
 func (n *Node) take(ctx context.Context, batch []any) {
 	began := time.Now()
 	defer func() { n.figures.Stepped(time.Since(began)) }()
-	events := n.look()
+	n.look()
+	var events []choice.Event
 	fresh := map[string]arrival{}
 	for _, e := range batch {
 		switch e := e.(type) {
 		case listwatch.List:
 			n.unconfirmed = false
+			n.floored(e.Floor)
 			n.begun(e)
 			events = append(events, n.listed(e))
 		case called:
@@ -436,6 +446,10 @@
 			if n.fellows != nil {
 				n.fellows.core.Receive(n.now(), e.from, e.text)
 			}
+		case revisionNote:
+			if n.ward != nil {
+				n.ward.core.Receive(n.now(), e.from, e.text)
+			}
 		case viewAsk:
 			e.reply <- n.view()
 		case choice.Leaving:
@@ -464,6 +478,8 @@
 	}
 	events = append(events, n.keptDue()...)
 	events = append(events, n.meet()...)
+	n.heed()
+	events = n.blinded(events)
 	// What the module is about to be told of, and the clients with it, rests on these records.
 	if err := n.journal.Flush(); err != nil && len(fresh) > 0 {
 		n.log.Error("messages_turned_away", "err", err)
@@ -498,6 +514,9 @@
 	switch {
 	case n.messages[a.ID] != nil:
 		return ingress.Answer{}, false // taken on before: handed in again it has no second effect
+	case n.ward.out() || n.unfit:
+		n.figures.Shed(a.Class)
+		return ingress.Answer{Refused: true, After: comeLater()}, false
 	case !n.dests[a.Dest] && n.cold != nil && !n.cold.Whole(): // the list that is awaited may name it
 		n.figures.Shed(a.Class)
 		return ingress.Answer{Refused: true, After: n.cold.Come(rand.Float64())}, false
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -13,6 +13,7 @@
 	"harrierramp/internal/backoff"
 	"harrierramp/internal/config"
 	"harrierramp/internal/membership"
+	"harrierramp/internal/straggler"
 )
 
 const (
@@ -78,9 +79,12 @@
 			continue // nobody of the fleet
 		}
 		text := append([]byte(nil), b[:n]...)
-		if n > 0 && text[0] == membership.Magic {
+		switch {
+		case n > 0 && text[0] == membership.Magic:
 			tell(memberNote{number, text})
-		} else {
+		case n > 0 && text[0] == straggler.Magic:
+			tell(revisionNote{number, text})
+		default:
 			tell(choice.Told{From: number, Text: text})
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -31,6 +31,7 @@
 	Build       string `json:"build"`
 	Config      string `json:"config"` // a digest of what counts of its configuration
 	Ready       bool   `json:"ready"`
+	Out         bool   `json:"out,omitempty"`  // shut out: it does nothing new
 	Door        string `json:"door,omitempty"` // of its operators
 	Why         string `json:"why,omitempty"`  // it was behind, last
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -153,7 +153,7 @@
 				revision++
 			}
 			for _, x := range tellers {
-				x.Update(now, revision, true, "")
+				x.Update(now, revision, true, false, "")
 				if _, ok := x.Next(now); ok {
 					told++
 					latest = max(latest, now-changed)
@@ -172,7 +172,7 @@
 	x := NewTeller(0, claim("n", 1, 0, 1), rand.New(rand.NewPCG(1, 1)))
 	tries, last := 0, int64(0)
 	for now := time.Duration(0); now < 5*time.Minute; now += 10 * time.Millisecond {
-		x.Update(now, int64(now/time.Second)+1, true, "a cut")
+		x.Update(now, int64(now/time.Second)+1, true, false, "a cut")
 		if c, ok := x.Next(now); ok {
 			if tries++; c.Revision != int64(now/time.Second)+1 || c.Seq <= last || c.Why != "a cut" && tries > 1 {
 				t.Fatalf("%+v at %v", c, now)
--- a/internal/roster/teller.go
+++ b/internal/roster/teller.go
@@ -34,12 +34,12 @@
 	return time.Duration(t.rng.Float64() * float64(d))
 }
 
-// Update notes what the node acts on now.
-func (t *Teller) Update(now time.Duration, revision int64, ready bool, why string) {
-	if t.claim.Revision == revision && t.claim.Ready == ready {
+// Update notes what the node acts on now, whether it is ready, and whether it is shut out.
+func (t *Teller) Update(now time.Duration, revision int64, ready, out bool, why string) {
+	if t.claim.Revision == revision && t.claim.Ready == ready && t.claim.Out == out {
 		return
 	}
-	t.claim.Revision, t.claim.Ready = revision, ready
+	t.claim.Revision, t.claim.Ready, t.claim.Out = revision, ready, out
 	if why != "" {
 		t.claim.Why = why
 	}
