Ask something of every node: fleet require and release, kept by the list service

Nobody could shut out nodes of a build or configuration that must not act. A floor (least revision or epoch, build, digest of the configuration) is a change of the list like any other: in the log, copied by followers, told with each list. A node that does not reach it begins nothing new and says not ready; the command names who that would be, refuses where it is more than a share of the fleet unless forced, and has a dry run. A follower keeps the deciding server's clock of a change.

--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -60,7 +60,7 @@
 			errs = append(errs, fmt.Errorf("%s: %w", addr, err))
 			continue
 		}
-		if !known || h.Head > best.Head || h.Head == best.Head && h.Floor < best.Floor {
+		if !known || h.Head > best.Head || h.Head == best.Head && len(h.Changes) > len(best.Changes) {
 			best, known = h, true
 		}
 	}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -37,7 +37,7 @@
 	var o fleetOptions
 	c := group("fleet", "Ask the list service who of the fleet has applied what",
 		"  harrierramp fleet status --servers 127.0.0.1:8500,127.0.0.1:8510\n  harrierramp fleet wait 68719476799 --share 0.99 --timeout 30s",
-		o.status(), o.wait(), o.history(), o.audit())
+		o.status(), o.wait(), o.history(), o.audit(), o.require(), o.release())
 	c.PersistentFlags().StringSliceVar(&o.servers, "servers", nil, "addresses of the list servers (default: registry.addresses of $ROUTER_CONFIG)")
 	c.PersistentFlags().BoolVar(&o.asJSON, "json", false, "answer as JSON")
 	return c
--- a/internal/lab/stage/audit.go
+++ b/internal/lab/stage/audit.go
@@ -32,7 +32,7 @@
 			errs = append(errs, err)
 			continue
 		}
-		if !known || h.Head > best.Head {
+		if !known || h.Head > best.Head || h.Head == best.Head && len(h.Changes) > len(best.Changes) {
 			best, known = h, true
 		}
 	}
--- a/internal/lab/stage/audit_test.go
+++ b/internal/lab/stage/audit_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -11,6 +15,7 @@
 	"harrierramp/internal/cli"
 	"harrierramp/internal/lab/process"
 	"harrierramp/internal/lab/relay"
+	"harrierramp/internal/testkit"
 )
 
 // Half of a fleet goes on calling an endpoint that is withdrawn, since neither list server reaches it, one of it is killed
@@ -144,6 +149,86 @@
 	}
 }
 
+// A floor that nobody reaches is refused, and named, unless it is forced; then all are shut out, and back once it is
+// released. One that all reach shuts nobody out. The list service keeps it over a restart.
+func TestAFloorIsKept(t *testing.T) {
+	t.Setenv(childEnv, "1")
+	s := script(t, `
+name = "floor"
+seed = 1
+nodes = 3
+for = "14s"
+[traffic]
+rate = 5
+life = "13s"
+[expect]
+broken = 0
+lost = 0
+[expect_least]
+delivered = 100
+`+small)
+	s.Servers = 1
+	s.Node.Audit, s.Node.ShutOut, s.Node.Beat, s.Node.Door = true, true, 250, true
+	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ran := make(chan error, 1)
+	go func() { ran <- st.Run() }()
+	first := relay.Party{Kind: relay.Server, N: 0}
+	server := process.At(st.block.Own(first), process.ListPort)
+	fleet := func(want int, args ...string) string {
+		t.Helper()
+		var out, errs bytes.Buffer
+		if code := cli.Main(append([]string{"fleet"}, append(args, "--servers", server)...), &out, &errs); code != want {
+			t.Errorf("%v: status %d: %s%s", args, code, out.String(), errs.String())
+		}
+		return out.String()
+	}
+	shut := func(want int) {
+		t.Helper()
+		testkit.Eventually(t, fmt.Sprint(want, " are shut out"), func() bool {
+			out := 0
+			for _, r := range st.Roster().Nodes {
+				if r.Out {
+					out++
+				}
+			}
+			return out == want && len(st.Roster().Nodes) == s.Nodes
+		})
+	}
+	shut(0)
+	head := strconv.FormatInt(st.Roster().Head, 10)
+	fleet(0, "require", "--revision", head)
+	if said := fleet(1, "require", "--build", "another"); !strings.Contains(said, "3 of 3 nodes do not reach it now: node-0 node-1 node-2") {
+		t.Errorf("%q", said)
+	}
+	fleet(0, "require", "--build", "another", "--dry-run")
+	fleet(1, "require", "--revision", "99999999999999", "--force")
+	shut(0)
+	fleet(0, "require", "--build", "another", "--force")
+	shut(3)
+	if err := errors.Join(st.Kill(first), st.Start(first)); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, "it serves again", func() bool { return st.Roster().Head > 0 })
+	shut(3)
+	testkit.Eventually(t, "it takes writes", func() bool {
+		return cli.Main([]string{"fleet", "release", "--servers", server}, io.Discard, io.Discard) == 0
+	})
+	shut(0)
+	if err := <-ran; err != nil {
+		t.Error(err)
+	}
+	if r := st.Report(); r.Failed() {
+		r.Print(t.Output())
+		t.Errorf("%v, %v", r.Missed, r.Broken)
+	}
+	if err := st.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Each way in which an audit and the ledger can differ is told.
 func TestTheStageSeesAWrongAudit(t *testing.T) {
 	late := []LateCalls{{Endpoint: "p0-0", Node: 1, Life: 2, Revision: 7, Count: 5}}
--- a/internal/registry/catalog.go
+++ b/internal/registry/catalog.go
@@ -9,6 +9,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"harrierramp/internal/listwatch"
 )
 
 // Why a claim is not granted. A Conflict is told by its own type.
@@ -59,6 +61,7 @@
 	members map[string]*held
 	byAddr  map[string]string
 
+	floor      *listwatch.Floor
 	settling   bool // the list was begun anew, until Settled holds
 	preserving bool
 	since      time.Duration // preserving, or the last time it was not
@@ -97,7 +100,7 @@
 
 // Whole is the whole list, with leases and lineage.
 func (c *Catalog) Whole() List {
-	l := List{Revision: c.head, Complete: true, Members: make([]Member, 0, len(c.members)), Lineage: c.past, Settling: c.settling}
+	l := List{Revision: c.head, Complete: true, Members: make([]Member, 0, len(c.members)), Lineage: c.past, Settling: c.settling, Floor: c.floor}
 	for _, h := range c.members {
 		l.Members = append(l.Members, h.Member)
 	}
@@ -127,6 +130,9 @@
 	if l.Complete || l.Lineage != nil {
 		c.past = l.Lineage
 	}
+	if l.Complete || l.Floor != nil {
+		c.floor = l.Floor
+	}
 	c.head, c.settling = max(c.head, l.Revision), l.Settling
 }
 
@@ -149,6 +155,28 @@
 	return List{Revision: c.head + 1, Members: members, Settling: c.settling}
 }
 
+// Require sets what is asked of every node; an empty floor asks nothing any more. No revision can be asked for that is
+// not given yet.
+func (c *Catalog) Require(f listwatch.Floor) (List, error) {
+	for name, word := range map[string]string{"build": f.Build, "config": f.Config} {
+		if word == "" {
+			continue
+		}
+		if err := checkWord(name, word); err != nil {
+			return List{}, fmt.Errorf("%w: %w", ErrBad, err)
+		}
+	}
+	if f.Revision < 0 || Revision(f.Revision) > c.head {
+		return List{}, fmt.Errorf("%w: revision %d, and the last that is given is %d", ErrBad, f.Revision, c.head)
+	}
+	if c.floor == nil && f == (listwatch.Floor{}) || c.floor != nil && *c.floor == f {
+		return List{}, nil
+	}
+	l := c.changes()
+	l.Members, l.Floor = []Member{}, &f
+	return l, nil
+}
+
 // Settled ends the time in which the list that was begun anew may lack instances that are there.
 func (c *Catalog) Settled() List {
 	l := c.changes()
--- a/internal/registry/history.go
+++ b/internal/registry/history.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"harrierramp/internal/acts"
+	"harrierramp/internal/listwatch"
 )
 
 // maxHistory bounds how many changes are kept for watchers that come with an older revision.
@@ -17,7 +18,9 @@
 	head    Revision
 	floor   Revision
 	past    lineage
-	settles bool // List.Settling of the head
+	settles bool             // List.Settling of the head
+	asked   *listwatch.Floor // of every node; an empty one where that was taken back
+	at      int64            // List.AtMS of the head
 	members map[string]Member
 	ring    []change
 }
@@ -52,7 +55,10 @@
 	if l.Complete || l.Lineage != nil {
 		h.past = l.Lineage
 	}
-	h.head, h.settles = l.Revision, l.Settling
+	if l.Complete || l.Floor != nil {
+		h.asked = l.Floor
+	}
+	h.head, h.settles, h.at = l.Revision, l.Settling, l.AtMS
 }
 
 // tells whether what changed after a revision is known.
@@ -73,11 +79,11 @@
 // when that can't be told.
 func (h *History) Since(after Revision) List {
 	if !h.tells(after) {
-		l := List{Revision: h.head, Complete: true, Members: slices.AppendSeq([]Member{}, maps.Values(h.members)), Lineage: h.past, Settling: h.settles}
+		l := List{Revision: h.head, Complete: true, Members: slices.AppendSeq([]Member{}, maps.Values(h.members)), Lineage: h.past, Settling: h.settles, Floor: h.asked}
 		slices.SortFunc(l.Members, byID)
 		return l
 	}
-	l := List{Revision: h.head, Members: []Member{}, Lineage: h.past, Settling: h.settles}
+	l := List{Revision: h.head, Members: []Member{}, Lineage: h.past, Settling: h.settles, Floor: h.asked, AtMS: h.at}
 	told := map[string]bool{}
 	for _, c := range slices.Backward(h.ring) {
 		if c.rev <= after {
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -78,6 +78,7 @@
 	mux.HandleFunc("POST /registry/instances/{id}/renew", s.renewals(s.renew))
 	mux.HandleFunc("PUT /registry/instances/{id}/phase", s.renewals(s.setPhase))
 	mux.HandleFunc("DELETE /registry/instances/{id}", s.renewals(s.withdraw))
+	mux.HandleFunc("PUT /registry/floor", s.require)
 	mux.HandleFunc("POST /registry/nodes", s.renewals(s.claimed))
 	mux.HandleFunc("GET /registry/nodes", s.nodes)
 	mux.HandleFunc("GET /registry/history", func(w http.ResponseWriter, _ *http.Request) { s.answer(w, s.feed.told()) })
@@ -272,6 +273,19 @@
 	})
 }
 
+// require sets what is asked of every node.
+func (s *Server) require(w http.ResponseWriter, r *http.Request) {
+	var f listwatch.Floor
+	if err := read(w, r, &f); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	s.order(w, r, func(time.Duration) (List, any, error) {
+		l, err := s.cat.Require(f)
+		return l, granted{Revision: max(l.Revision, s.cat.Head())}, err
+	})
+}
+
 // report takes notices. Any server takes them, also one that follows: a node must not wait for the primary.
 func (s *Server) report(w http.ResponseWriter, r *http.Request) {
 	raw, err := body(w, r, maxPost)
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"harrierramp/internal/listwatch"
 )
 
 // Phases of an instance. The last is used among changes only.
@@ -59,6 +61,8 @@
 	Settling bool `json:"settling,omitempty"`
 	// AtMS is when the server that decided a change took it, by its clock. Only servers tell each other, and the audit.
 	AtMS int64 `json:"at_ms,omitempty"`
+	// Floor is what is asked of every node from this revision on. Among changes nil is no news; an empty one asks nothing.
+	Floor *listwatch.Floor `json:"floor,omitempty"`
 }
 
 // public is the list as anybody may see it.
@@ -68,7 +72,9 @@
 		Complete bool       `json:"complete"`
 		Members  []Instance `json:"members"`
 		Settling bool       `json:"settling,omitempty"`
-	}{l.Revision, l.Complete, make([]Instance, len(l.Members)), l.Settling}
+
+		Floor *listwatch.Floor `json:"floor,omitempty"`
+	}{l.Revision, l.Complete, make([]Instance, len(l.Members)), l.Settling, l.Floor}
 	for i, m := range l.Members {
 		bare.Members[i] = m.Instance
 	}
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -235,7 +235,9 @@
 	for i, o := range batch {
 		l, reply, err := o.plan(now)
 		if results[i] = (result{reply, err}); err == nil && l.Revision != 0 {
-			l.AtMS = time.Now().UnixMilli()
+			if l.AtMS == 0 { // not copied from who decided it
+				l.AtMS = time.Now().UnixMilli()
+			}
 			s.cat.Apply(now, l)
 			lists, changes[i] = append(lists, l), l
 		}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -244,6 +244,19 @@
 	return nodes, behind, silent, oldest
 }
 
+// Unfit names the nodes that are not silent and don't reach a floor, and says of how many.
+func (v View) Unfit(revision int64, build, config string) (out []string, of int) {
+	for _, r := range v.Nodes {
+		if r.Silent {
+			continue
+		}
+		if of++; r.Revision < revision || build != "" && r.Build != build || config != "" && r.Config != config {
+			out = append(out, r.Name)
+		}
+	}
+	return out, of
+}
+
 // Merge joins what several servers know: of each node the latest claim, by incarnation and number and not by clocks, and
 // the changes of the server that is furthest.
 func Merge(views []View) View {
