Count the time in which a message may have lain unread while the process did not run

The stories show hand-ins unheard for up to 2.5 s, then a +OK and a delivery past the time. What is read within 100 ms after a gap now has the gap's length taken off its time. Only with the section audit, which watches for gaps.

--- a/internal/gap/gap.go
+++ b/internal/gap/gap.go
@@ -22,11 +22,12 @@
 // Invariant: it is blind only between the end of a gap and the first thing heard that was said after it, and for Bound at
 // most.
 type Gap struct {
-	last  time.Duration
-	seen  bool
-	blind bool
-	since time.Duration // the end of the gap
-	Count int64         // gaps
+	last   time.Duration
+	seen   bool
+	blind  bool
+	since  time.Duration // the end of the gap
+	missed time.Duration // how long it was
+	Count  int64         // gaps
 }
 
 // Step notes that the process runs at a moment, and when it last heard of what it acts on. changed is whether it has just
@@ -34,7 +35,7 @@
 func (g *Gap) Step(now, heard time.Duration) (changed bool, missed time.Duration) {
 	if g.seen && now-g.last > After {
 		missed = now - g.last
-		changed, g.blind, g.since = !g.blind, true, now
+		changed, g.blind, g.since, g.missed = !g.blind, true, now, missed
 		g.Count++
 	}
 	g.last, g.seen = now, true
@@ -44,6 +45,15 @@
 	return changed, missed
 }
 
+// Lain is how long something that was read at a moment may have lain unread, since the process did not run: what is read
+// soon after a gap may have come at its beginning.
+func (g *Gap) Lain(read time.Duration) time.Duration {
+	if read <= g.since-g.missed || read > g.since+Settle {
+		return 0
+	}
+	return g.missed
+}
+
 // Blind tells whether nothing new may be begun on what was known.
 func (g *Gap) Blind() bool { return g.blind }
 
--- a/internal/gap/gap_test.go
+++ b/internal/gap/gap_test.go
@@ -31,6 +31,7 @@
 		}
 		now += c.gap - 50*ms
 		end, blind := now, time.Duration(0)
+		before := now - max(c.gap, 50*ms)
 		for ; now < end+3*time.Second; now += 50 * ms {
 			heard := time.Duration(0)
 			for _, h := range c.heard {
@@ -42,6 +43,15 @@
 				blind = now - end + 50*ms
 			}
 		}
+		long := c.gap
+		if c.gap <= After {
+			long = 0
+		}
+		for at, want := range map[time.Duration]time.Duration{before - ms: 0, end - ms: long, end + Settle: long, end + Settle + ms: 0} {
+			if got := g.Lain(at); got != want {
+				t.Errorf("%s: what is read %v after its end may have lain for %v, want %v", name, at-end, got, want)
+			}
+		}
 		if blind != c.blind {
 			t.Errorf("%s: blind for %v, want %v", name, blind, c.blind)
 		}
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -60,6 +60,14 @@
 	}
 }
 
+// lain is how long a message may have lain unread since the process did not run; its time has gone on meanwhile.
+func (n *Node) lain(came time.Time) time.Duration {
+	if n.audit == nil {
+		return 0
+	}
+	return n.audit.gap.Lain(n.at(came))
+}
+
 // claimed is the end of a claim that was posted.
 type claimed struct {
 	err   error
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -463,6 +463,7 @@
 				events = append(events, news)
 			}
 		case arrival:
+			e.Life -= n.lain(e.Came)
 			if first, undecided := fresh[e.ID]; undecided { // what the first is told holds for both
 				first.also = append(first.also, e.reply)
 				fresh[e.ID] = first
