Begin slowly where no limit is told, and bring kept lists into force in turns

A start of 300 nodes at partners that tell no limit was refused 230 of 1,730 calls, since a keeper that knows no limit granted everything until it was refused. A keeper of a fleet that remembers nothing now begins with five calls a second and twice the best second that has passed (slow start), until some are refused. A kept list comes into force in the node's turn among the fleet, as a server's does.

--- a/choice/account.go
+++ b/choice/account.go
@@ -174,6 +174,11 @@
 	return 1
 }
 
+// best is the most that the route has passed in a second.
+func (r *route) best(now time.Duration) float64 {
+	return max(r.busiest, r.passed/max(1, seconds(now-r.passedAt)), 1)
+}
+
 // newSince is since when this sender has known a destination of which no keeper has ever told it; 0 if one has.
 func (s *Sender) newSince(c *claim) time.Duration {
 	if s.cfg.Cautious && c.heardAt == 0 {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -549,6 +549,9 @@
 	if r.whole {
 		limit *= s.here()
 	}
+	if limit == 0 && r.whole && s.cfg.Cautious {
+		limit = max(slowStartAt, slowStart*r.best(s.now))
+	}
 	return r.part * limit, limit > 0
 }
 
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -41,6 +41,8 @@
 	allowanceCut  = 0.5                    // factor on it at a refusal over the limit,
 	allowanceGrow = 0.05                   // and what comes back a second
 	foundGrow     = 0.1                    // share by which a limit that was found is tried higher, a second
+	slowStartAt   = 5.0                    // calls a second that a fleet begins with where no limit is told,
+	slowStart     = 2.0                    // and times its best second from there, until some are refused
 )
 
 // met takes what membership tells of another sender. Who asked one that is gone asks the next at once.
@@ -344,8 +346,7 @@
 	if !r.whole || r.cutAt == 0 || r.reported {
 		return 0
 	}
-	best := max(r.busiest, r.passed/max(1, seconds(s.now-r.passedAt)), 1)
-	return best * (1 + foundGrow*seconds(s.now-r.cutAt))
+	return r.best(s.now) * (1 + foundGrow*seconds(s.now-r.cutAt))
 }
 
 // begin takes a route whose limit is told for cold where nothing is remembered of it: partners may start too.
--- a/internal/lab/stage/ledger.go
+++ b/internal/lab/stage/ledger.go
@@ -114,7 +114,8 @@
 	conns     int
 	open      int
 	mostOpen  int
-	mostEarly int // of those, in the first earlySpan of the play
+	mostEarly int // of those, in the first earlySpan of the play,
+	mostLast  int // and in the last third of it
 	calls     int
 	hungUp    int
 	refused   int
@@ -373,6 +374,9 @@
 		if at < l.script.Start.Nodes.Duration()+earlySpan {
 			e.mostEarly = max(e.mostEarly, e.open)
 		}
+		if at > l.script.For.Duration()*2/3 {
+			e.mostLast = max(e.mostLast, e.open)
+		}
 	case partner.Closed:
 		e.open--
 	case partner.HungUp:
--- a/internal/lab/stage/play.go
+++ b/internal/lab/stage/play.go
@@ -56,6 +56,11 @@
 	r := st.ledger.report(marks)
 	if st.script.Node.Door {
 		r.Figures["stale_nodes"] = float64(st.stale())
+		for name, figure := range map[string]string{"shut_outs": "router.shut_outs:", "gaps": "router.gaps:"} {
+			for i := range st.nodes { // of the processes that run now
+				r.Figures[name] += float64(max(figureAt("http://"+st.Door(i)+"/ops/stats", figure), 0))
+			}
+		}
 	}
 	for i, p := range st.lists {
 		cost, err := p.Cost()
--- a/internal/lab/stage/report.go
+++ b/internal/lab/stage/report.go
@@ -38,7 +38,7 @@
 	Broken  []string           `json:"broken"`  // rules, 40 at most
 	Missed  []string           `json:"missed"`  // what the script expects and did not see
 	Late    []LateCalls        `json:"late"`
-	Lost    []string           `json:"lost"` // stories of messages without an end, 10 at most
+	Stories []string           `json:"stories"` // of messages that ended badly, 10 at most
 	Marks   []Mark             `json:"marks"`
 	Bins    []Bin              `json:"bins"` // of 100 ms each
 	Result  *judge.Result      `json:"result"`
@@ -56,6 +56,13 @@
 	Count    int    `json:"count"`
 }
 
+// tell adds a message's story.
+func (r *Report) tell(m *message) {
+	if len(r.Stories) < 10 {
+		r.Stories = append(r.Stories, m.id+": "+strings.Join(m.story, "; "))
+	}
+}
+
 // busiest is the most of a count in so many bins in a row.
 func busiest(bins []Bin, wide int, of func(Bin) int) float64 {
 	most, sum := 0, 0
@@ -111,8 +118,8 @@
 		if !m.over {
 			end = "lost"
 		}
-		if ends[end]++; end == "lost" && len(r.Lost) < 10 {
-			r.Lost = append(r.Lost, m.id+": "+strings.Join(m.story, "; "))
+		if ends[end]++; end == "lost" {
+			r.tell(m)
 		}
 		tries += m.tries
 		repeats += max(m.ran-1, 0)
@@ -155,6 +162,7 @@
 	for _, e := range l.endpoints {
 		fell += e.fell
 		f["open_early"], f["open_most"] = max(f["open_early"], float64(e.mostEarly)), max(f["open_most"], float64(e.mostOpen))
+		f["open_last"] = max(f["open_last"], float64(e.mostLast))
 		f["cold_load"] = max(f["cold_load"], e.load)
 		f["late_calls"] += float64(e.lateCalls)
 		f["last_late_call"] = max(f["last_late_call"], e.lastLate.Seconds())
@@ -169,6 +177,9 @@
 	r.Broken = slices.Clone(l.broken)
 	for _, v := range r.Result.Violations {
 		r.Broken = append(r.Broken, fmt.Sprintf("%9.3f s  %s: node %d, %s: %s", v.At.Seconds(), v.Rule, v.Node, v.Msg, v.Text))
+		if m := l.byID[v.Msg]; m != nil && m.end != "" {
+			r.tell(m)
+		}
 	}
 	f["broken"] = float64(l.brokenN + r.Result.Broken)
 	return r
@@ -240,8 +251,8 @@
 	for _, x := range r.Late {
 		fmt.Fprintf(w, "late: node %d made %d calls at %s after it was withdrawn\n", x.Node, x.Count, x.Endpoint)
 	}
-	for _, x := range r.Lost {
-		fmt.Fprintf(w, "lost: %s\n", x)
+	for _, x := range r.Stories {
+		fmt.Fprintf(w, "story: %s\n", x)
 	}
 	for _, x := range r.AuditText {
 		fmt.Fprintf(w, "audit: %s\n", x)
--- a/internal/node/keptlist.go
+++ b/internal/node/keptlist.go
@@ -65,8 +65,11 @@
 	if !at.IsZero() {
 		was.Age = max(time.Since(at), 0) // the clock may have been set back
 	}
+	// The whole fleet may be starting. Where list servers answer, their lists come to one node after the other; so do the
+	// kept ones come into force.
+	turn := n.turn()
 	n.cold = coldstart.New(coldstart.Config{
-		KeptAfter: n.cfg.Registry.KeptAfter.Duration(), KeptMost: n.cfg.Registry.KeptMost.Duration(), Cycle: n.turn().Cycle(),
+		KeptAfter: n.cfg.Registry.KeptAfter.Duration() + turn.First(), KeptMost: n.cfg.Registry.KeptMost.Duration(), Cycle: turn.Cycle(),
 	}, n.now(), was)
 	if n.cold.KeptDue(n.now()) {
 		n.unconfirmed = true
