Name what a faulty partner does, on the stage as well

The stage's rules were shown to hold against faulty nodes only. A partner that runs a call twice, runs what it has refused, or runs what nobody called or handed in went unnamed where the node did nothing wrong.

--- a/internal/lab/stage/judge_test.go
+++ b/internal/lab/stage/judge_test.go
@@ -14,6 +14,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"harrierramp/internal/lab/model"
+	"harrierramp/internal/partner"
 )
 
 const faultEnv = "TEST_FAULTY_NODE"
@@ -148,6 +151,41 @@
 	}
 }
 
+// A partner that gets one thing wrong is named as well, whatever the nodes do.
+func TestTheStageSaysWhatAPartnerGetsWrong(t *testing.T) {
+	s := script(t, "name = \"partner\"\nnodes = 1\n[[destination]]\nendpoints = 2\n")
+	day, err := s.day()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		does []partner.Seen
+		want string
+	}{
+		"as it should": {[]partner.Seen{{What: partner.Called, ID: "m"}, {What: partner.Ran, ID: "m"}}, ""},
+		"refuses, then is called again": {[]partner.Seen{
+			{What: partner.Called, ID: "m"}, {What: partner.Refused, ID: "m"}, {What: partner.Called, ID: "m"}, {What: partner.Ran, ID: "m"}}, ""},
+		"runs one call twice":        {[]partner.Seen{{What: partner.Called, ID: "m"}, {What: partner.Ran, ID: "m"}, {What: partner.Ran, ID: "m"}}, "without a call"},
+		"runs what it has refused":   {[]partner.Seen{{What: partner.Called, ID: "m"}, {What: partner.Refused, ID: "m"}, {What: partner.Ran, ID: "m"}}, "without a call"},
+		"runs what nobody handed in": {[]partner.Seen{{What: partner.Ran, ID: "x"}}, "nobody has handed in"},
+		"runs what was not called":   {[]partner.Seen{{What: partner.Ran, ID: "m"}}, "without a call"},
+	} {
+		l := newLedger(&s, day, time.Now())
+		l.started(0)
+		m := &message{id: "m", class: classOnce, until: time.Second}
+		l.hand(m)
+		l.answered(m, model.Taken, true)
+		for _, e := range c.does {
+			e.Endpoint, e.From = "p0-0", "127.0.0.1:1"
+			l.partner(0, e)
+		}
+		broken := strings.Join(l.report(nil).Broken, "\n")
+		if (c.want == "") != (broken == "") || !strings.Contains(broken, c.want) {
+			t.Errorf("a partner that %s: %q", name, broken)
+		}
+	}
+}
+
 // The stage judges truly: each rule that a faulty node breaks on purpose is named, and a node that breaks none is not
 // accused.
 func TestTheStageSaysWhatIsWrong(t *testing.T) {
--- a/internal/lab/stage/ledger.go
+++ b/internal/lab/stage/ledger.go
@@ -461,11 +461,17 @@
 func (l *ledger) ended(node int, e *endpointSeen, s partner.Seen, at time.Duration, o choice.Outcome) {
 	m := l.byID[s.ID]
 	if m == nil {
+		if o == choice.Pass {
+			l.breaks("strange", "%s runs %q, which nobody has handed in", e.id, s.ID)
+		}
 		return
 	}
 	m.tell(at, "%s ends %s with %d", e.id, s.ID, o)
 	i := slices.IndexFunc(m.calls, func(c *call) bool { return c.from == s.From && c.endpoint == e.id && !c.ended })
 	ev := model.Event{At: at, Node: node, Msg: s.ID, First: m.id, Class: m.class, Dest: e.dest, Endpoint: e.id, Outcome: o}
+	if i < 0 && s.ID == m.tryID && o == choice.Pass {
+		l.breaks("strange", "%s runs %s without a call of it", e.id, s.ID)
+	}
 	if i >= 0 {
 		m.calls[i].ended = true
 		ev.Attempt = i
