Leave a server that is merely slow alone, and who begins

Two causes, by the logs: a start counts as being behind (own revision 0), so that nodes asked other servers out of their turn; and 0.3 s was less than the server's delay. Who has no list is no straggler now, others are asked after 0.6 s, and a node is shut out after 0.7 s.

--- a/internal/node/fleetward.go
+++ b/internal/node/fleetward.go
@@ -13,7 +13,6 @@
 type ward struct {
 	core *straggler.Core
 	beat time.Duration // of list servers; 0 where they have none
-	was  int64         // the revision that others were last seen to act on
 }
 
 // revisionNote is a datagram of straggler.
@@ -61,13 +60,10 @@
 	for _, d := range w.core.Take() {
 		n.peers.send(choice.Tell{To: d.To, Text: d.Text}, n.log)
 	}
-	if news.Ahead != 0 && news.Ahead != w.was {
-		n.late("others act on a later list")
-		n.log.Warn("fleet_ahead", "revision", news.Ahead, "own", n.revision)
-	}
-	w.was = news.Ahead
 	n.figures.ListAhead.Store(max(news.Ahead-n.revision, 0))
 	if news.AskServer {
+		n.late("others act on a later list")
+		n.log.Warn("fleet_ahead", "revision", news.Ahead, "own", n.revision)
 		listwatch.Nudge(n.nudge)
 	}
 	if !news.Changed {
--- a/internal/straggler/straggler.go
+++ b/internal/straggler/straggler.go
@@ -25,11 +25,11 @@
 // Bounds, in which a straggler is met.
 const (
 	DefaultPeriod = 400 * time.Millisecond
-	// AskAfter is how long somebody has to be ahead, by and large, before another server is asked: a change takes a while to
-	// all, and not all are to ask in one moment.
-	AskAfter = 150 * time.Millisecond
+	// AskAfter is how long others have to be ahead before another server is asked, and up to an eighth more, so that not all
+	// ask in one moment. A server that is merely half a second slow has told by then.
+	AskAfter = 600 * time.Millisecond
 	// Bound is how long a node may be behind, as it knows, before it is shut out.
-	Bound = 300 * time.Millisecond
+	Bound = 700 * time.Millisecond
 	// AskAgain is how often another server is asked meanwhile.
 	AskAgain = time.Second
 	// fresh is how long a word counts. A node that is alone goes on: an outage stops nothing.
@@ -37,7 +37,7 @@
 	// witnesses have to say that they act on a later list, or all others where there are fewer. So no single one that is
 	// wrong, or lies, shuts anybody out.
 	witnesses = 2
-	doubtMost = 800 * time.Millisecond
+	doubtMost = 400 * time.Millisecond
 	fan       = 2                     // that hear of a change at once
 	asked     = 3                     // that are asked to bear witness
 	askPause  = 50 * time.Millisecond // until they are asked again, doubled each time: datagrams get lost
@@ -224,13 +224,13 @@
 		c.say(kindTell, c.others(1)...)
 	}
 	n.Ahead = max(c.witnessed(), c.floor)
-	if n.Ahead <= c.revision {
+	if n.Ahead <= c.revision || c.revision == 0 { // who has no list yet waits for one in its turn
 		n.Ahead, c.behind = 0, -1
 		return c.back(now, n)
 	}
 	c.backAt = 0
 	if c.behind < 0 {
-		c.behind, c.serverAt = now, now+AskAfter/2+time.Duration(c.rng.Int64N(int64(AskAfter)))
+		c.behind, c.serverAt = now, now+AskAfter+time.Duration(c.rng.Int64N(int64(AskAfter/8)))
 	}
 	if now >= c.serverAt {
 		n.AskServer, c.serverAt = true, now+AskAgain
@@ -292,8 +292,8 @@
 	if c.askAt > 0 && c.witnessed() == 0 {
 		at = min(at, c.askAt)
 	}
-	if c.out && c.behind < 0 && c.backAt == 0 {
-		at = 0 // Step decides about the way back
+	if c.behind >= 0 && (max(c.witnessed(), c.floor) <= c.revision || c.revision == 0) {
+		at = 0 // it has caught up, and Step decides about the way back
 	}
 	return at
 }
