Keep those who ask a keeper in heaps, so that an ask costs a logarithm

They now stand in a heap by who comes first (want.before, unchanged: worth, wait, order of asking), found by sender, forgotten from a queue in the order of asking.

--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -247,22 +248,18 @@
 		}
 		d.othersAt = s.now
 	}
-	i := slices.IndexFunc(d.wants, func(w *want) bool { return w.from == from })
-	if i < 0 {
-		i = len(d.wants)
-		d.wants = append(d.wants, &want{from: from, seq: n.seq - 1, grantSeq: uint16(s.rng.Uint32())})
-	}
-	w := d.wants[i]
+	w := d.wants.want(from, func() uint16 { return n.seq - 1 }, func() uint16 { return uint16(s.rng.Uint32()) })
 	if !newer(n.seq, w.seq) {
 		return
 	}
 	if w.n == 0 {
 		w.since = s.now
 	}
-	w.seq, w.n, w.urgency, w.route, w.at, w.owed = n.seq, n.count, n.urgency, n.route, s.now, true
+	w.seq, w.n, w.urgency, w.route = n.seq, n.count, n.urgency, n.route
 	if s.now-w.grantAt < onTheWay { // the ask does not know of what has crossed it
 		w.n -= min(w.n, int(w.grantSeq-n.seen))
 	}
+	d.wants.asked(w, s.now)
 	if !d.kept {
 		d.kept = true
 		s.kept = append(s.kept, d)
@@ -274,7 +271,7 @@
 func (s *Sender) grant() (own bool) {
 	s.dropWants()
 	for _, d := range s.kept {
-		for w := d.neediest(s.now); w != nil; w = d.neediest(s.now) {
+		for w := d.wants.first(s.now); w != nil; w = d.wants.first(s.now) {
 			e := s.fleetRoom(d, w.route)
 			if e == nil {
 				break
@@ -287,35 +284,22 @@
 			w.owed = false
 			w.grantSeq++
 			w.grantAt = s.now
+			d.wants.moved(w, s.now)
 			own = own || w.from == s.cfg.Number
 			s.note(w.from, note{kind: noteGrant, dest: d.id, route: s.mark(e), seq: w.grantSeq, count: 1})
 		}
-		for _, w := range d.wants {
-			if w.owed {
-				w.owed = false
-				s.note(w.from, note{kind: noteGrant, dest: d.id, seq: w.grantSeq})
-			}
-		}
+		d.wants.answer(func(w *want) {
+			s.note(w.from, note{kind: noteGrant, dest: d.id, seq: w.grantSeq})
+		})
 	}
 	return own
 }
 
-// neediest is whose message is worth most, and of these the one that has waited longest. Who got no
-// connection of late comes last: its list may be old, and then its calls and trials tell nothing.
-func (d *destination) neediest(now time.Duration) (best *want) {
-	for _, w := range d.wants {
-		if best != nil && w.n > 0 && (now < w.lostUntil) != (now < best.lostUntil) {
-			if now < best.lostUntil {
-				best = w
-			}
-			continue
-		}
-		if w.n > 0 && (best == nil || w.urgency > best.urgency ||
-			(w.urgency == best.urgency && w.since < best.since)) {
-			best = w
-		}
-	}
-	return best
+// before tells who is granted a call first: whose message is worth most, and of these the one that has waited
+// longest. Who got no connection of late comes last: its list may be old, and then its calls and trials tell
+// nothing.
+func (w *want) before(o *want) bool {
+	return cmp.Or(cmp.Compare(o.urgency, w.urgency), cmp.Compare(w.since, o.since), w.number-o.number) < 0
 }
 
 // fleetRoom is an endpoint whose route takes another call of the fleet now: one of the route that was drawn
@@ -392,12 +376,11 @@
 func (s *Sender) fleetHeard(e *endpoint, from int, o Outcome, wait time.Duration) {
 	f := s.fleet(e)
 	f.trial = false
-	for _, w := range e.dest.wants {
-		if w.from == from && o == NoRoute {
+	if w := e.dest.wants.of[from]; w != nil && (o == NoRoute || o == Pass) {
+		if w.lostUntil = 0; o == NoRoute {
 			w.lostUntil = s.now + lostRest
-		} else if w.from == from && o == Pass {
-			w.lostUntil = 0
 		}
+		e.dest.wants.moved(w, s.now)
 	}
 	if o == NoRoute && s.now-f.deliveredAt < lostSign && f.deliveredAt > 0 {
 		return // others get through: who does not has an old list
--- a/choice/state.go
+++ b/choice/state.go
@@ -60,7 +60,7 @@
 	cameAt    time.Duration
 	claim     claim
 	keepers   []int         // senders that keep its limit, the first before the others
-	wants     []*want       // of senders that ask this one
+	wants     line          // of senders that ask this one
 	othersAt  time.Duration // last ask of another sender
 	kept      bool          // stands in the sender's list of those
 	active    bool          // stands in the sender's list of those with something to do
@@ -110,6 +110,9 @@
 	grantSeq  uint16
 	grantAt   time.Duration // last grant
 	lostUntil time.Duration // its calls got no connection of late
+	number    int           // in the order of who first asked
+	in        *wantHeap     // of its line; nil for none
+	place     int           // there
 }
 
 // gate is the two-bound admission control of the paper, for one destination.
@@ -451,8 +454,7 @@
 // dropWants forgets asks that have not been said again, and destinations without any.
 func (s *Sender) dropWants() {
 	s.kept = slices.DeleteFunc(s.kept, func(d *destination) bool {
-		d.wants = slices.DeleteFunc(d.wants, func(w *want) bool { return s.now-w.at >= askedLast })
-		d.kept = len(d.wants) > 0
+		d.kept = !d.wants.drop(s.now - askedLast)
 		return !d.kept
 	})
 }
