Count a try's runs apart in the stage's ledger

A hand-in that was unheard while its node was paused was run after a later copy of it had been refused; the next try, under a new id, was then counted as delivered when it was taken on, by the run of the first. Only runs of the same try count now.

--- a/internal/lab/stage/ledger.go
+++ b/internal/lab/stage/ledger.go
@@ -55,6 +55,7 @@
 	over      bool
 	calls     []*call // of this try
 	ran       int     // of all tries
+	ranNow    int     // of this try
 	firstRan  time.Duration
 	end       string
 	next      bool // the hand-in that comes is a new try
@@ -268,7 +269,7 @@
 	} else {
 		m.tryID = fmt.Sprintf("%s~%d", m.id, m.tries)
 	}
-	m.calls, m.taken = nil, false
+	m.calls, m.taken, m.ranNow = nil, false, 0
 	l.byID[m.tryID] = m
 	m.tell(at, "handed in as %s until %.3f", m.tryID, m.until.Seconds())
 	l.observe(model.Event{
@@ -289,7 +290,7 @@
 		}
 		m.taken = true
 		l.observe(model.Event{At: at, What: model.TakenOn, Node: m.node, Msg: m.tryID, First: m.id, Class: m.class, Dest: m.dest, Deadline: m.until})
-		if m.ran > 0 {
+		if m.ranNow > 0 {
 			l.over(m, at, choice.Pass, "delivered")
 		}
 	case model.Busy:
@@ -477,6 +478,9 @@
 		ev.Attempt = i
 	}
 	if o == choice.Pass {
+		if s.ID == m.tryID {
+			m.ranNow++
+		}
 		if m.ran++; m.ran == 1 {
 			m.firstRan = at
 		}
