--- /dev/null
+++ b/internal/registry/floor_test.go
@@ -0,0 +1,106 @@
+package registry
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"reflect"
+	"testing"
+
+	"harrierramp/internal/acts"
+	"harrierramp/internal/roster"
+)
+
+// Who watches the table of nodes hears of each claim, and of each revision.
+func TestTheTableIsWatched(t *testing.T) {
+	a := start(t, testConfig(t), listen(t, "127.0.0.1:0"))
+	resp, err := http.Get("http://" + a.addr + "/registry/nodes?watch=1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	until := func(what string, holds func(v roster.View) bool) {
+		t.Helper()
+		for range 40 {
+			var v roster.View
+			if !lines.Scan() {
+				break
+			}
+			if err := json.Unmarshal(lines.Bytes(), &v); err != nil {
+				t.Fatal(err)
+			}
+			if holds(v) {
+				return
+			}
+		}
+		t.Fatal("never: " + what)
+	}
+	until("an empty table", func(v roster.View) bool { return len(v.Nodes) == 0 })
+	head := a.list().Revision
+	if code, said := a.call("POST", "/registry/nodes", fmt.Sprintf(`{"name":"n","incarnation":1,"seq":1,"revision":%d,"build":"b","config":"c"}`, head)); code != http.StatusNoContent {
+		t.Fatal(code, said)
+	}
+	until("the claim", func(v roster.View) bool { return len(v.Nodes) == 1 && v.Nodes[0].BehindMS == 0 })
+	a.register(1, 10_000)
+	until("a change", func(v roster.View) bool { return len(v.Nodes) == 1 && v.Nodes[0].BehindMS > 0 })
+}
+
+// What a follower remembers of a withdrawal has the clock of the server that decided it, and a floor goes with the list: to
+// the follower, over a restart, and away again.
+func TestFloorsAndTimesAreCopied(t *testing.T) {
+	a, b := pair(t)
+	a.register(1, 10_000)
+	eventually(t, "the follower has the instance", func() bool {
+		code, text := b.call("GET", "/registry/instances", "")
+		return code == http.StatusOK && len(parse(t, text).Members) == 1
+	})
+	if code, said := a.call("DELETE", "/registry/instances/s1", `{"owner":"p1"}`); code != http.StatusNoContent {
+		t.Fatal(code, said)
+	}
+	history := func(x *site) (h acts.History) {
+		_, text := x.call("GET", "/registry/history", "")
+		if err := json.Unmarshal([]byte(text), &h); err != nil {
+			t.Fatal(err)
+		}
+		return h
+	}
+	head := a.list().Revision
+	for _, bad := range []string{`{"revision":-1}`, fmt.Sprintf(`{"revision":%d}`, head+1), `{"build":"a b"}`} {
+		if code, _ := a.call("PUT", "/registry/floor", bad); code != http.StatusBadRequest {
+			t.Errorf("%s: %d", bad, code)
+		}
+	}
+	if code, _ := b.call("PUT", "/registry/floor", `{"build":"x"}`); code != http.StatusMisdirectedRequest {
+		t.Errorf("the follower says %d", code)
+	}
+	for _, floor := range []string{`{"build":"x"}`, `{}`} {
+		if code, said := a.call("PUT", "/registry/floor", floor); code != http.StatusOK {
+			t.Fatal(code, said)
+		}
+		want := a.list()
+		if want.Floor == nil || (want.Floor.Build == "x") != (floor != `{}`) {
+			t.Fatalf("the list says %+v", want.Floor)
+		}
+		eventually(t, "the follower has it", func() bool {
+			code, text := b.call("GET", "/registry/instances", "")
+			return code == http.StatusOK && reflect.DeepEqual(parse(t, text).Floor, want.Floor)
+		})
+	}
+	last := func(h acts.History) (out acts.Change) {
+		for _, c := range h.Changes {
+			if c.ID == "s1" && c.Phase == Deleted {
+				out = c
+			}
+		}
+		return out
+	}
+	if mine, other := last(history(a)), last(history(b)); mine.AtMS == 0 || mine != other {
+		t.Errorf("decided %+v, copied %+v", mine, other)
+	}
+	again := a.again()
+	if l := again.list(); l.Floor != nil && l.Floor.Build != "" {
+		t.Errorf("after a restart %+v", l.Floor)
+	}
+}
--- a/internal/registry/roster.go
+++ b/internal/registry/roster.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -43,11 +44,53 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// nodes tells what is known of the fleet.
-func (s *Server) nodes(w http.ResponseWriter, _ *http.Request) {
-	var v roster.View
-	s.desk.with(s.now(), s.feed.head(), func(t *roster.Table) { v = t.View(s.now()) })
-	s.answer(w, v)
+const (
+	nodesPause = 250 * time.Millisecond // between looks for whoever watches the table
+	nodesQuiet = 5 * time.Second        // after which it is told again all the same
+)
+
+// nodes tells what is known of the fleet; with watch=1 a line each time that a claim or a revision has changed it, four a
+// second at most.
+func (s *Server) nodes(w http.ResponseWriter, r *http.Request) {
+	view := func() (v roster.View) {
+		s.desk.with(s.now(), s.feed.head(), func(t *roster.Table) { v = t.View(s.now()) })
+		return v
+	}
+	if r.URL.Query().Get("watch") != "1" {
+		s.answer(w, view())
+		return
+	}
+	if s.figures.watchers.Add(1) > int64(s.cfg.MaxWatchers) {
+		s.figures.watchers.Add(-1)
+		s.refuse(w, errors.New("too many watchers"))
+		return
+	}
+	defer s.figures.watchers.Add(-1)
+	looks := time.NewTicker(nodesPause)
+	defer looks.Stop()
+	rc := http.NewResponseController(w)
+	for told, at := int64(-1), time.Duration(0); ; {
+		var changed int64
+		s.desk.with(s.now(), s.feed.head(), func(t *roster.Table) { changed = t.Version() })
+		if changed != told || s.now()-at >= nodesQuiet {
+			told, at = changed, s.now()
+			err := rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if err == nil {
+				err = json.NewEncoder(w).Encode(view())
+			}
+			if err = errors.Join(err, rc.Flush()); err != nil {
+				s.log.Debug("nodes_not_taken", "err", err)
+				return
+			}
+		}
+		select {
+		case <-looks.C:
+		case <-r.Context().Done():
+			return
+		case <-s.stopped:
+			return
+		}
+	}
 }
 
 // forget takes a node out of the table that is gone for good, in the name of an operator.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -107,8 +107,12 @@
 	rows    map[string]*row
 	changes []change
 	Refused int64 // claims
+	version int64
 }
 
+// Version is another after each claim that was taken, each row that was dropped and each revision.
+func (t *Table) Version() int64 { return t.version }
+
 // NewTable is empty.
 func NewTable() *Table { return &Table{rows: map[string]*row{}} }
 
@@ -118,6 +122,7 @@
 		return
 	}
 	t.head = head
+	t.version++
 	nodes := 0
 	for _, r := range t.rows {
 		if now-r.heard <= SilentAfter {
@@ -152,6 +157,7 @@
 		}
 	}
 	t.rows[c.Name] = &row{c, now}
+	t.version++
 	return nil
 }
 
@@ -186,6 +192,7 @@
 // Drop takes a node out that is gone for good, and tells whether it was there.
 func (t *Table) Drop(name string) bool {
 	was := t.rows[name] != nil
+	t.version++
 	delete(t.rows, name)
 	return was
 }
