--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -14,6 +14,7 @@
 
 	"harrierramp/internal/lab/experiment"
 	"harrierramp/internal/lab/judge"
+	"harrierramp/internal/lab/losses"
 	"harrierramp/internal/lab/model"
 	"harrierramp/internal/lab/policy"
 )
@@ -32,7 +33,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(newRun(), newDay(), newTrace(), newCompare(), newPolicies(), newPaper(), newLoopback(), newStage(), newLoad(), newPartner(), newWatchers())
+	root.AddCommand(newRun(), newDay(), newTrace(), newLosses(), newCompare(), newPolicies(), newPaper(), newLoopback(), newStage(), newLoad(), newPartner(), newWatchers())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(stderr, "harrierlab: %v\n", err)
 		if usage || strings.HasPrefix(err.Error(), "unknown command") {
@@ -189,6 +190,28 @@
 	}
 }
 
+func newLosses() *cobra.Command {
+	var j experiment.Job
+	c := &cobra.Command{
+		Use: "losses KIND", Short: "Play one day and tell where its worth went, by cause, phase and kind of destination", Args: cobra.ExactArgs(1),
+		Example: "  harrierlab losses split --nodes 300 --seed 3",
+		RunE: func(c *cobra.Command, args []string) error {
+			j.Day = args[0]
+			day, err := model.Draw(j.Day, j.Nodes, j.Seed)
+			if err != nil {
+				return err
+			}
+			l := losses.New(&day)
+			if line := (&experiment.Experiment{}).Play(c.Context(), j, l); line.Failed != "" {
+				return fmt.Errorf("%s", line.Failed)
+			}
+			return l.Report().Print(c.OutOrStdout())
+		},
+	}
+	jobFlags(c, &j)
+	return c
+}
+
 func newPolicies() *cobra.Command {
 	return &cobra.Command{
 		Use: "policies", Short: "List who may decide", Args: cobra.NoArgs, Example: "  harrierlab policies",
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -249,30 +249,37 @@
 
 // worth is what a delivery at a moment earns, and whether it is past the aim.
 func (j *Judge) worth(t *try, at time.Duration) (float64, bool) {
-	c, age := j.day.Settings.Classes[t.class], at-t.at
-	full := j.asked(t)
+	return Worth(&j.day.Settings, t.class, j.asked(t), at-t.at)
+}
+
+// Worth is what a message of a class that asks for so much earns if it is delivered at an age, and whether that is past its
+// aim.
+func Worth(s *choice.Settings, class int, asked float64, age time.Duration) (float64, bool) {
+	c := s.Classes[class]
 	switch {
 	case age <= c.Aim:
-		return full, false
-	case age > c.Deadline+j.day.Settings.AnswerGrace+slack:
+		return asked, false
+	case age > c.Deadline+s.AnswerGrace+slack:
 		return 0, true
-	case j.day.Settings.Halves:
-		w := full
+	case s.Halves:
+		w := asked
 		for late := age - c.Aim; late > 0; late -= c.Aim {
 			w /= 2
 		}
-		return max(w, full*c.LateWorth), true
+		return max(w, asked*c.LateWorth), true
 	}
 	part := float64(age-c.Aim) / float64(max(c.Deadline-c.Aim, 1))
-	return full * (1 - (1-c.LateWorth)*part), true
+	return asked * (1 - (1-c.LateWorth)*part), true
 }
 
-func (j *Judge) asked(t *try) float64 {
-	w := j.day.Settings.Classes[t.class].Worth
-	if !t.inShare {
-		w *= j.day.Settings.OverShareWorth
+func (j *Judge) asked(t *try) float64 { return Asked(&j.day.Settings, t.class, t.inShare) }
+
+// Asked is what a message of a class can earn at most, in its tenant's share or beyond it.
+func Asked(s *choice.Settings, class int, inShare bool) float64 {
+	if inShare {
+		return s.Classes[class].Worth
 	}
-	return w
+	return s.Classes[class].Worth * s.OverShareWorth
 }
 
 func (j *Judge) attempt(e *model.Event) (*entry, *attempt) {
--- /dev/null
+++ b/internal/lab/losses/losses_test.go
@@ -0,0 +1,119 @@
+package losses
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"harrierramp/choice"
+	"harrierramp/internal/lab/model"
+)
+
+const s = time.Second
+
+func day() *model.Day {
+	return &model.Day{
+		Nodes: []model.NodeSpec{{}, {Zone: 1}}, Dests: []model.DestSpec{{Limit: 10, Endpoints: []model.EndpointSpec{{ID: "e"}}}},
+		Settings: choice.Settings{
+			Classes: []choice.Class{{Aim: s, Deadline: 10 * s, Worth: 1, LateWorth: 0.5}}, Kinds: []choice.Kind{{}}, OverShareWorth: 0.2, WarmWithin: 5 * s,
+		},
+		Troubles: []model.Trouble{{Kind: model.CutZone, Zone: 1, At: 100 * s, Len: 10 * s}},
+	}
+}
+
+// Each cause is named by what happened, and nothing else.
+func TestCausesAreNamed(t *testing.T) {
+	at := func(d time.Duration, w model.What, e model.Event) model.Event {
+		e.At, e.What, e.Msg, e.First, e.Endpoint, e.Deadline, e.InShare = d+model.Start(), w, "m", "m", "e", 10*s+model.Start(), true
+		return e
+	}
+	in := at(0, model.HandedIn, model.Event{})
+	sent := func(d time.Duration, n int) model.Event { return at(d, model.Sent, model.Event{Attempt: n}) }
+	ended := func(d time.Duration, n int, o choice.Outcome) model.Event {
+		return at(d, model.Ended, model.Event{Attempt: n, Outcome: o})
+	}
+	answer := func(d time.Duration, o choice.Outcome) model.Event {
+		return at(d, model.Answered, model.Event{Outcome: o})
+	}
+	busy := func() (out []model.Event) { // the destination passes what it can
+		for i := range 120 { // from before it is handed in
+			out = append(out, at(time.Duration(i-5)*100*time.Millisecond, model.Ran, model.Event{}))
+		}
+		return out
+	}
+	for name, c := range map[string]struct {
+		events []model.Event
+		want   Cause
+	}{
+		"no room at arrival":   {append(busy(), in, answer(0, choice.NoRoom)), ArrivalFull},
+		"room at arrival":      {[]model.Event{in, answer(0, choice.NoRoom)}, ArrivalRoom},
+		"waited in vain":       {append(busy(), in, answer(9*s, choice.NoRoom)), WaitFull},
+		"waited for nothing":   {[]model.Event{in, answer(9*s, choice.NoRoom)}, WaitRoom},
+		"late, with room":      {[]model.Event{in, sent(4*s, 0), ended(5*s, 0, choice.Pass), answer(5*s, choice.Pass)}, WaitRoom},
+		"over the limit":       {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.NoRoom), sent(4*s, 1), ended(5*s, 1, choice.Pass), answer(5*s, choice.Pass)}, OverLimit},
+		"nothing there":        {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.NoRoute), answer(9*s, choice.NoRoom)}, Dead},
+		"down":                 {[]model.Event{in, at(0, model.OutageBegan, model.Event{}), sent(0, 0), ended(3*s, 0, choice.TooSlow), answer(9*s, choice.Fault)}, Dead},
+		"its answer got lost":  {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.Cut), answer(9*s, choice.Fault)}, Retried},
+		"the partner was slow": {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.Pass), answer(3*s, choice.Pass)}, Slow},
+		"refused in an outage": {[]model.Event{at(0, model.OutageBegan, model.Event{}), in, answer(0, choice.NoRoom)}, Hurt},
+		"refused after one":    {[]model.Event{at(-4*s, model.OutageBegan, model.Event{}), at(-3*s, model.OutageEnded, model.Event{}), in, answer(0, choice.NoRoom)}, Hurt},
+		"its zone was cut":     {[]model.Event{at(101*s, model.HandedIn, model.Event{Node: 1}), at(101*s, model.Answered, model.Event{Node: 1, Outcome: choice.NoRoom})}, Cut},
+		"the node was dead":    {[]model.Event{in, at(0, model.Unheard, model.Event{})}, Node},
+	} {
+		l := New(day())
+		for _, e := range c.events {
+			l.Observe(&e)
+		}
+		r := l.Report()
+		if got := r.Lost[c.want.String()]; got <= 0 || math.Abs(got+r.Served-1) > 1e-9 || len(r.Lost) != 1 {
+			t.Errorf("%s: %v, served %.2f", name, r.Lost, r.Served)
+		}
+	}
+}
+
+// Whatever happens in whatever order, what is served and what is lost come to all that was asked for, by cause, by phase and
+// by kind.
+func TestLossesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now := New(day()), time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "msg")
+			l.Observe(&model.Event{
+				At: now, What: model.What(rapid.IntRange(0, int(model.Strange)).Draw(t, "what")), Msg: id, First: id, Endpoint: "e",
+				Node: rapid.IntRange(0, 1).Draw(t, "node"), Attempt: rapid.IntRange(0, 2).Draw(t, "attempt"), Deadline: now + 10*s,
+				Outcome: choice.Outcome(rapid.IntRange(0, int(choice.Stale)).Draw(t, "outcome")), InShare: rapid.Bool().Draw(t, "share"),
+			})
+		}
+		r := l.Report()
+		if len(l.order) == 0 {
+			return
+		}
+		for name, parts := range map[string][]map[string]float64{
+			"causes": {r.Lost}, "phases": {r.Phases["before"], r.Phases["during"], r.Phases["after"]}, "kinds": {r.Kinds[0]},
+		} {
+			sum := r.Served
+			for _, p := range parts {
+				for _, x := range p {
+					sum += x
+				}
+			}
+			if math.Abs(sum-1) > 1e-9 {
+				t.Fatalf("%s: served and lost come to %v", name, sum)
+			}
+		}
+		if j := r.Fair["jain_10s"]; j < 0 || j > 1+1e-9 {
+			t.Fatalf("Jain's index is %v", j)
+		}
+	})
+}
+
+func TestJain(t *testing.T) {
+	for want, shares := range map[float64][]float64{1: {0.5, 0.5, 0.5}, 0.25: {1, 0, 0, 0}, 0.5: {1, 1, 0, 0}} {
+		if got := Jain(shares); math.Abs(got-want) > 1e-9 {
+			t.Errorf("%v: %v, want %v", shares, got, want)
+		}
+	}
+}
