Know a destination's state in each half second in which something happens to its messages

The commit before left TestCausesAreNamed red: a refusal while an endpoint was cold counted as one with room where nothing else had made that half second's entry.

--- a/internal/lab/losses/losses.go
+++ b/internal/lab/losses/losses.go
@@ -158,6 +158,7 @@
 	if m == nil {
 		return
 	}
+	l.bin(m.dest, e.At) // as it is at this moment
 	switch e.What {
 	case model.Unheard:
 		m.unheard = true
@@ -190,6 +191,7 @@
 		l.messages[e.First] = m
 		l.order = append(l.order, m)
 	}
+	l.bin(m.dest, e.At)
 	m.handedIn, m.unheard, m.sentAt, m.endpoint = e.At, false, map[int]time.Duration{}, map[int]string{}
 }
 
