--- a/internal/lab/stage/play.go
+++ b/internal/lab/stage/play.go
@@ -70,6 +70,12 @@
 		name := fmt.Sprintf("server%d_", i)
 		r.Figures[name+"cpu_s"], r.Figures[name+"mb"] = cost.CPU.Seconds(), float64(cost.MostMemory)/(1<<20)
 	}
+	for _, p := range st.nodes { // processes that run now
+		if cost, err := p.Cost(); err == nil {
+			r.Figures["nodes_cpu_s"] += cost.CPU.Seconds()
+			r.Figures["node_most_mb"] = max(r.Figures["node_most_mb"], float64(cost.MostMemory)/(1<<20))
+		}
+	}
 	if st.script.Node.Record > 0 {
 		st.holdAudit(r)
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -185,3 +186,27 @@
 		t.Errorf("%d tries in five minutes", tries)
 	}
 }
+
+// BenchmarkTable is what a full table costs: memory a row, and a claim.
+func BenchmarkTable(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	x := NewTable()
+	x.Advance(0, 1<<20)
+	names := make([]string, MaxNodes)
+	for i := range names {
+		names[i] = fmt.Sprint("node-", i)
+		if err := x.Take(0, Claim{Name: names[i], Incarnation: 1, Seq: 1, Revision: 1, Build: "0c1f30d27a5b", Config: "8c1f30d27a5b", Door: "127.0.0.1:9090"}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for i := int64(0); b.Loop(); i++ {
+		if err := x.Take(s, Claim{Name: names[i%MaxNodes], Incarnation: 1, Seq: 2 + i, Revision: 1 + i%1000, Build: "0c1f30d27a5b"}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/MaxNodes, "bytes/row")
+}
