--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -248,7 +248,7 @@
 		}
 		d.othersAt = s.now
 	}
-	w := d.wants.want(from, func() uint16 { return n.seq - 1 }, func() uint16 { return uint16(s.rng.Uint32()) })
+	w := d.wants.want(from, n.seq-1, s.rng)
 	if !newer(n.seq, w.seq) {
 		return
 	}
--- a/choice/line.go
+++ b/choice/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math/rand/v2"
 	"time"
 )
 
@@ -46,15 +47,15 @@
 	return w
 }
 
-// want is what a sender asks for; new if it has not asked before.
-func (l *line) want(from int, seq, grantSeq func() uint16) *want {
+// want is what a sender asks for; new, after an ask of that number, if it has not asked before.
+func (l *line) want(from int, seq uint16, rng *rand.Rand) *want {
 	w := l.of[from]
 	if w == nil {
 		if l.of == nil {
 			l.of = map[int]*want{}
 		}
 		l.count++
-		w = &want{from: from, seq: seq(), grantSeq: grantSeq(), number: l.count}
+		w = &want{from: from, seq: seq, grantSeq: uint16(rng.Uint32()), number: l.count}
 		l.of[from] = w
 	}
 	return w
--- a/choice/line_test.go
+++ b/choice/line_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -31,13 +32,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var l line
 		var plain []*want
+		rng := rand.New(rand.NewPCG(1, 1))
 		now := time.Second
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * ms
 			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0, 1:
 				from := rapid.IntRange(0, 12).Draw(t, "from")
-				w := l.want(from, func() uint16 { return 0 }, func() uint16 { return 0 })
+				w := l.want(from, 0, rng)
 				if !slices.Contains(plain, w) {
 					plain = append(plain, w)
 				}
@@ -96,9 +98,9 @@
 		b.Run(fmt.Sprint(senders), func(b *testing.B) {
 			var l line
 			now := time.Second
-			zero := func() uint16 { return 0 }
+			rng := rand.New(rand.NewPCG(1, 1))
 			for i := range senders {
-				w := l.want(i, zero, zero)
+				w := l.want(i, 0, rng)
 				w.n, w.urgency, w.since = 1, uint8(i%3), now
 				l.asked(w, now)
 			}
@@ -107,7 +109,7 @@
 				w := l.first(now)
 				w.n--
 				l.moved(w, now)
-				w = l.want(i%senders, zero, zero)
+				w = l.want(i%senders, 0, rng)
 				w.n, w.since = 1, now
 				l.asked(w, now)
 				l.answer(func(*want) {})
