--- a/internal/lab/stage/audit_test.go
+++ b/internal/lab/stage/audit_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -22,7 +21,6 @@
 // meanwhile and one paused. What the nodes have on record of that equals what partners saw, entry by entry, and the
 // command finds the same by the nodes' doors as the stage in their folders.
 func TestTheAuditEqualsTheLedger(t *testing.T) {
-	t.Setenv(childEnv, "1")
 	s := script(t, `
 name = "audited"
 seed = 1
@@ -61,18 +59,8 @@
 audit_late = 10
 `+small)
 	s.Node.Audit, s.Node.Beat, s.Node.Door, s.Node.Record = true, 250, true, 128
-	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := st.Run(); err != nil {
-		t.Error(err)
-	}
-	r := st.Report()
-	if r.Failed() {
-		r.Print(t.Output())
-		t.Errorf("%v, %v, %v", r.Missed, r.Broken, r.AuditText)
-	}
+	st, _, done := playing(t, s)
+	r := done()
 	var servers []string // a node tells one of them
 	for i := range s.Servers {
 		servers = append(servers, process.At(st.block.Own(relay.Party{Kind: relay.Server, N: i}), process.ListPort))
@@ -91,15 +79,11 @@
 			t.Errorf("%+v", f)
 		}
 	}
-	if err := st.Close(); err != nil {
-		t.Error(err)
-	}
 }
 
 // Both list servers fall silent towards some nodes while an endpoint is withdrawn: they hear from the others that the list
 // has moved on, and stop calling before the grace is over by half a second; with all of it mended they deliver again.
 func TestWhoCantFollowIsShutOut(t *testing.T) {
-	t.Setenv(childEnv, "1")
 	s := script(t, `
 name = "shut out"
 seed = 1
@@ -128,31 +112,18 @@
 delivered = 300
 `+small)
 	s.Node.Audit, s.Node.ShutOut, s.Node.Beat, s.Node.Door = true, true, 250, true
-	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := st.Run(); err != nil {
-		t.Error(err)
-	}
+	st, _, done := playing(t, s)
+	done()
 	for n := range s.Nodes {
 		if outs := figureAt("http://"+st.Door(n)+"/ops/stats", "router.shut_outs:"); (outs > 0) != (n < 2) {
 			t.Errorf("node %d was shut out %d times", n, outs)
 		}
 	}
-	if r := st.Report(); r.Failed() {
-		r.Print(t.Output())
-		t.Errorf("%v, %v", r.Missed, r.Broken)
-	}
-	if err := st.Close(); err != nil {
-		t.Error(err)
-	}
 }
 
 // A floor that nobody reaches is refused, and named, unless it is forced; then all are shut out, and back once it is
 // released. One that all reach shuts nobody out. The list service keeps it over a restart.
 func TestAFloorIsKept(t *testing.T) {
-	t.Setenv(childEnv, "1")
 	s := script(t, `
 name = "floor"
 seed = 1
@@ -169,12 +140,8 @@
 `+small)
 	s.Servers = 1
 	s.Node.Audit, s.Node.ShutOut, s.Node.Beat, s.Node.Door = true, true, 250, true
-	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ran := make(chan error, 1)
-	go func() { ran <- st.Run() }()
+	st, run, done := playing(t, s)
+	run()
 	first := relay.Party{Kind: relay.Server, N: 0}
 	server := process.At(st.block.Own(first), process.ListPort)
 	fleet := func(want int, args ...string) string {
@@ -217,16 +184,7 @@
 		return cli.Main([]string{"fleet", "release", "--servers", server}, io.Discard, io.Discard) == 0
 	})
 	shut(0)
-	if err := <-ran; err != nil {
-		t.Error(err)
-	}
-	if r := st.Report(); r.Failed() {
-		r.Print(t.Output())
-		t.Errorf("%v, %v", r.Missed, r.Broken)
-	}
-	if err := st.Close(); err != nil {
-		t.Error(err)
-	}
+	done()
 }
 
 // Each way in which an audit and the ledger can differ is told.
--- a/internal/lab/stage/stage_test.go
+++ b/internal/lab/stage/stage_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -44,6 +45,39 @@
 	return s
 }
 
+// playing opens a stage. done plays it to its end and fails the test for whatever the script does not expect; run may
+// begin that before.
+func playing(t *testing.T, s Script) (st *Stage, run func(), done func() *Report) {
+	t.Helper()
+	t.Setenv(childEnv, "1")
+	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ran := make(chan error, 1)
+	run = sync.OnceFunc(func() { go func() { ran <- st.Run() }() })
+	t.Cleanup(func() {
+		if err := st.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return st, run, func() *Report {
+		t.Helper()
+		if run(); t.Failed() {
+			return nil
+		}
+		if err := <-ran; err != nil {
+			t.Error(err)
+		}
+		r := st.Report()
+		if r.Failed() {
+			r.Print(t.Output())
+			t.Errorf("%v, %v, %v", r.Missed, r.Broken, r.AuditText)
+		}
+		return r
+	}
+}
+
 // play plays a script and fails the test for whatever the script does not expect.
 func play(t *testing.T, text string) *Report {
 	t.Helper()
@@ -209,7 +243,6 @@
 // The list service knows who acts on what: a node that is cut off from it is behind a change that the others have, and
 // current again when it is healed; each call says on which list it rests.
 func TestTheFleetsVersionsAreKnown(t *testing.T) {
-	t.Setenv(childEnv, "1")
 	s := script(t, `
 name = "versions"
 seed = 1
@@ -238,12 +271,8 @@
 delivered = 200
 `+small)
 	s.Node.Audit, s.Node.Beat = true, 250
-	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ran := make(chan error, 1)
-	go func() { ran <- st.Run() }()
+	st, run, done := playing(t, s)
+	run()
 	eventually := func(what string, holds func(current, behind int, rows []roster.Row) bool) {
 		t.Helper()
 		for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
@@ -262,21 +291,11 @@
 		return current == 5 && behind == 1 && rows[0].Name == "node-2"
 	})
 	eventually("it is brought up", func(current, behind int, _ []roster.Row) bool { return current == 6 && behind == 0 })
-	if err := <-ran; err != nil {
-		t.Error(err)
-	}
-	if r := st.Report(); r.Failed() {
-		r.Print(t.Output())
-		t.Errorf("%v", r.Missed)
-	}
-	if err := st.Close(); err != nil {
-		t.Error(err)
-	}
+	done()
 }
 
 // A node that was paused notices, looks before it acts, and goes on.
 func TestAPausedNodeLooksBeforeItActs(t *testing.T) {
-	t.Setenv(childEnv, "1")
 	s := script(t, `
 name = "paused"
 seed = 1
@@ -298,23 +317,11 @@
 delivered = 200
 `+small)
 	s.Node.Audit, s.Node.Beat, s.Node.Door = true, 250, true
-	st, err := Open(t.Context(), s, Options{Program: os.Args[0], Out: t.Output()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := st.Run(); err != nil {
-		t.Error(err)
-	}
+	st, _, done := playing(t, s)
+	done()
 	if gaps := figureAt("http://"+st.Door(1)+"/ops/stats", "router.gaps:"); gaps < 1 {
 		t.Errorf("%d gaps", gaps)
 	}
-	if r := st.Report(); r.Failed() {
-		r.Print(t.Output())
-		t.Errorf("%v, %v", r.Missed, r.Broken)
-	}
-	if err := st.Close(); err != nil {
-		t.Error(err)
-	}
 }
 
 // A stage that is opened holds its addresses; closed, it leaves no process behind, and a second one stands beside it.
