Set clocks against each other by when an exchange ended, not when it was written down

A process that is paused between a list server's answer to a claim and the line that records it would have set its clock by the length of the pause, with an error told as next to nothing: false findings. The line now says when the exchange ended. The property test has lines up to three seconds later than what they tell of, and fails by the line's own moment. Also: a file of a record that could not be made anew after a turn no longer stops the record, and a word of having been shut out does not outlast a process's turn as the node.

--- a/internal/acts/acts_test.go
+++ b/internal/acts/acts_test.go
@@ -48,7 +48,7 @@
 	r := open(t, dir, 1<<20, 1, c)
 	want := []Line{
 		{List: 7, Begun: []Begun{{1, "e-1"}, {2, "e-2"}}},
-		{Ended: []Ended{{Seq: 1, How: Answered, FromMS: 1_000_003, TookMS: 1}}, Why: "a cut", Sync: &Sync{1_000_010, 4}},
+		{Ended: []Ended{{Seq: 1, How: Answered, FromMS: 1_000_003, TookMS: 1}}, Why: "a cut", Sync: &Sync{1_000_010, 1_000_000, 4}},
 	}
 	for i := range want {
 		if err := r.Write(want[i]); err != nil {
@@ -205,7 +205,7 @@
 			heard[n] = w.history.Head
 		}
 		if rng.IntN(4) == 0 {
-			lines[n] = append(lines[n], Line{AtMS: at, Sync: &Sync{now - rng.Int64N(20), 20}})
+			lines[n] = append(lines[n], Line{AtMS: at + rng.Int64N(3000), Sync: &Sync{now - rng.Int64N(20), at, 20}})
 		}
 		id := names[rng.IntN(len(names))]
 		how := []How{Answered, Answered, Answered, Answered, Answered, Unsure, Unsent}[rng.IntN(7)]
--- a/internal/acts/audit.go
+++ b/internal/acts/audit.go
@@ -172,7 +172,7 @@
 	if s := l.Sync; s != nil {
 		// The server read its clock between the exchange's beginning and its end.
 		if half := (s.TookMS + 1) / 2; x.err < 0 || half < x.err {
-			x.offset, x.err = s.ServerMS-(l.AtMS-s.TookMS/2), half
+			x.offset, x.err = s.ServerMS-(s.EndedMS-s.TookMS/2), half
 		}
 	}
 	if l.Why != "" {
@@ -289,5 +289,11 @@
 			cmp.Compare(x.Revision, y.Revision), cmp.Compare(x.Endpoint, y.Endpoint))
 	})
 	slices.SortStableFunc(a.report.Unknown, func(x, y Unknown) int { return cmp.Or(cmp.Compare(x.Node, y.Node), cmp.Compare(x.Life, y.Life)) })
+	if a.report.Findings == nil {
+		a.report.Findings = []Finding{}
+	}
+	if a.report.Unknown == nil {
+		a.report.Unknown = []Unknown{}
+	}
 	return a.report
 }
--- a/internal/acts/record.go
+++ b/internal/acts/record.go
@@ -64,9 +64,11 @@
 	TookMS int64 `json:"t,omitempty"`
 }
 
-// Sync is a list server's clock, read by an exchange that ended at the line's moment and took so long.
+// Sync is a list server's clock, read by an exchange that ended at a moment of the node's and took so long. The moment is
+// not the line's: the process may not have run in between.
 type Sync struct {
 	ServerMS int64 `json:"s"`
+	EndedMS  int64 `json:"e"`
 	TookMS   int64 `json:"t"`
 }
 
@@ -178,7 +180,8 @@
 		return nil
 	}
 	path := filepath.Join(r.dir, NowName)
-	if err := os.Rename(path, filepath.Join(r.dir, BeforeName)); err != nil {
+	err := os.Rename(path, filepath.Join(r.dir, BeforeName))
+	if err != nil && !errors.Is(err, os.ErrNotExist) { // gone already: the new one could not be made
 		return fmt.Errorf("acts: %w", err)
 	}
 	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o600)
--- a/internal/node/acts.go
+++ b/internal/node/acts.go
@@ -58,19 +58,21 @@
 		if e.How = acts.Unsure; r.Heard {
 			e.How = acts.Answered
 		}
-		now := a.now()
-		e.FromMS, e.TookMS = now.Add(-time.Since(r.Writing)).UnixMilli(), r.Wrote.Sub(r.Writing).Milliseconds()
+		e.FromMS, e.TookMS = a.wall(r.Writing), r.Wrote.Sub(r.Writing).Milliseconds()
 	}
 	a.line.Ended = append(a.line.Ended, e)
 }
 
-// clock notes what a list server's clock showed in an exchange that ends now.
-func (a *actsRecord) clock(ms int64, took time.Duration) {
+// clock notes what a list server's clock showed in an exchange.
+func (a *actsRecord) clock(e claimed) {
 	if a != nil {
-		a.line.Sync = &acts.Sync{ServerMS: ms, TookMS: took.Milliseconds()}
+		a.line.Sync = &acts.Sync{ServerMS: e.clock, EndedMS: a.wall(e.ended), TookMS: e.took.Milliseconds()}
 	}
 }
 
+// wall is a moment by the record's clock, in milliseconds.
+func (a *actsRecord) wall(at time.Time) int64 { return a.now().Add(-time.Since(at)).UnixMilli() }
+
 // flush writes the step's line down, before any of its calls is made. A record that can't be written costs no message: it
 // says later how much of it is missing.
 func (a *actsRecord) flush(revision int64, why *string) {
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -72,6 +72,7 @@
 type claimed struct {
 	err   error
 	clock int64 // the server's, in milliseconds; 0 for not told
+	ended time.Time
 	took  time.Duration
 }
 
@@ -170,7 +171,8 @@
 		if err != nil {
 			n.log.Debug("claim_not_taken", "addr", addr, "err", err)
 		}
-		n.tell(a.term, claimed{err, clock, time.Since(began)})
+		ended := time.Now()
+		n.tell(a.term, claimed{err, clock, ended, ended.Sub(began)})
 	})
 }
 
@@ -193,7 +195,7 @@
 	if e.err != nil {
 		n.audit.turn++
 	} else if e.clock > 0 {
-		n.audit.acts.clock(e.clock, e.took)
+		n.audit.acts.clock(e)
 	}
 	n.audit.core.Done(n.now(), e.err == nil)
 }
--- a/internal/node/fleetward.go
+++ b/internal/node/fleetward.go
@@ -23,6 +23,9 @@
 
 // newWard begins to hear which list others act on, or is nil where that is off.
 func (n *Node) newWard() *ward {
+	if !n.unfit {
+		n.outcast.Store(nil) // of a time before, in which this process owned the node
+	}
 	if n.audit == nil || !n.cfg.Audit.ShutOut || n.peers == nil {
 		return nil
 	}
