--- a/choice/line.go
+++ b/choice/line.go
@@ -95,12 +95,15 @@
 
 // first is who comes first, nil for nobody. Who got no connection of late comes after the others.
 func (l *line) first(now time.Duration) *want {
-	for i := 0; i < len(l.lost); i++ {
-		if w := l.lost[i]; now >= w.lostUntil {
-			l.moved(w, now)
-			i = -1 // the heap is another
+	var back []*want
+	for _, w := range l.lost {
+		if now >= w.lostUntil {
+			back = append(back, w)
 		}
 	}
+	for _, w := range back { // not while the heap is walked
+		l.moved(w, now)
+	}
 	switch {
 	case len(l.turn) > 0:
 		return l.turn[0]
--- a/internal/acts/audit.go
+++ b/internal/acts/audit.go
@@ -23,6 +23,14 @@
 	Changes []Change `json:"changes"` // revisions rise
 }
 
+// Fuller is the one of two servers' histories that knows more: the later list, and of the same the more changes.
+func Fuller(a, b History) History {
+	if cmp.Or(cmp.Compare(b.Head, a.Head), cmp.Compare(len(b.Changes), len(a.Changes))) > 0 {
+		return b
+	}
+	return a
+}
+
 const serving = "SERVING"
 
 // Finding is the calls of one process of a node at an endpoint, by one version of the list, after that endpoint had been
--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -49,7 +49,6 @@
 		return best, err
 	}
 	var errs []error
-	known := false
 	for _, addr := range addrs {
 		raw, err := fleetGet(ctx, "http://"+addr+"/registry/history", maxFleetBody)
 		var h acts.History
@@ -60,11 +59,9 @@
 			errs = append(errs, fmt.Errorf("%s: %w", addr, err))
 			continue
 		}
-		if !known || h.Head > best.Head || h.Head == best.Head && len(h.Changes) > len(best.Changes) {
-			best, known = h, true
-		}
+		best = acts.Fuller(best, h)
 	}
-	if !known {
+	if len(errs) == len(addrs) {
 		return best, errors.Join(errs...)
 	}
 	return best, nil
--- a/internal/lab/losses/losses.go
+++ b/internal/lab/losses/losses.go
@@ -93,7 +93,7 @@
 	bins     [][]bin   // by destination
 	can      []float64 // calls a second, by the limit
 	down     map[string]bool
-	bests    []float64       // of best; -1 until the day is over
+	bests    []float64       // of best, once the day is over
 	downs    []int           // endpoints of each destination
 	cold     []time.Duration // until then
 	place    map[string]int  // of endpoints
@@ -217,24 +217,21 @@
 const bestBins = 4
 
 // best is what a destination passed in a second of its best two.
-func (l *Ledger) best(dest int) float64 {
-	if l.bests[dest] < 0 {
-		sum, most := 0, 0
-		for i, b := range l.bins[dest] {
-			if sum += b.passed; i >= bestBins {
-				sum -= l.bins[dest][i-bestBins].passed
-			}
-			most = max(most, sum)
+func best(bins []bin) float64 {
+	sum, most := 0, 0
+	for i, b := range bins {
+		if sum += b.passed; i >= bestBins {
+			sum -= bins[i-bestBins].passed
 		}
-		l.bests[dest] = float64(most) / (bestBins * binSize.Seconds())
+		most = max(most, sum)
 	}
-	return l.bests[dest]
+	return float64(most) / (bestBins * binSize.Seconds())
 }
 
 // room tells whether a destination could have taken more in a span, and whether all its endpoints were well.
 func (l *Ledger) room(dest int, from, to time.Duration) (room, well bool) {
 	well = true
-	passed, refused, most, can := 0, 0, 0.0, l.best(dest)
+	passed, refused, most, can := 0, 0, 0.0, l.bests[dest]
 	if limit := l.can[dest]; limit > 0 {
 		can = min(can, limit)
 	}
@@ -253,9 +250,10 @@
 // part is how much of what it can a destination could at a moment, by the day's troubles.
 func (l *Ledger) part(dest int, at time.Duration) float64 {
 	part := 1.0
-	for _, t := range l.active(at) {
+	at -= model.Start()
+	for _, t := range l.day.Troubles {
 		switch {
-		case !slices.Contains(t.Dests, dest):
+		case at < t.At || at >= t.At+t.Len || !slices.Contains(t.Dests, dest):
 		case t.Kind == model.Lower:
 			part *= t.Size
 		case t.Kind == model.Slow && t.Size > 1:
@@ -265,17 +263,6 @@
 	return part
 }
 
-// active are the troubles of a moment.
-func (l *Ledger) active(at time.Duration) (out []model.Trouble) {
-	at -= model.Start()
-	for _, t := range l.day.Troubles {
-		if at >= t.At && at < t.At+t.Len {
-			out = append(out, t)
-		}
-	}
-	return out
-}
-
 // cut tells whether a node's zone was cut off at some moment of a span.
 func (l *Ledger) cut(node int, from, to time.Duration) bool {
 	for _, t := range l.day.Troubles {
@@ -349,8 +336,8 @@
 // Report closes the ledger.
 func (l *Ledger) Report() Report {
 	l.bests = make([]float64, len(l.bins))
-	for i := range l.bests {
-		l.bests[i] = -1
+	for i, b := range l.bins {
+		l.bests[i] = best(b)
 	}
 	r := Report{Lost: map[string]float64{}, Phases: map[string]map[string]float64{}, Kinds: map[int]map[string]float64{}}
 	total := 0.0
--- a/internal/lab/stage/audit.go
+++ b/internal/lab/stage/audit.go
@@ -21,7 +21,6 @@
 func (st *Stage) Audit() (acts.Report, error) {
 	var best acts.History
 	var errs []error
-	known := false
 	for i := range st.lists {
 		var h acts.History
 		raw, err := get("http://" + process.At(st.block.Own(relay.Party{Kind: relay.Server, N: i}), process.ListPort) + "/registry/history")
@@ -32,11 +31,9 @@
 			errs = append(errs, err)
 			continue
 		}
-		if !known || h.Head > best.Head || h.Head == best.Head && len(h.Changes) > len(best.Changes) {
-			best, known = h, true
-		}
+		best = acts.Fuller(best, h)
 	}
-	if !known {
+	if len(errs) == len(st.lists) {
 		return acts.Report{}, fmt.Errorf("stage: no list server tells what it remembers: %w", errors.Join(errs...))
 	}
 	a := acts.Auditor{History: best, Grace: st.ledger.day.Settings.DrainGrace + lateSlack, Slack: auditSlack}
