Let one function end a client's connection: our side first, then what still comes, then the close

Need: bytes may come in the very moment in which a connection ends, and a close over unread bytes resets it and takes the last answer with it. Cause, by reading and then forced on real sockets: in internal/ingress/ingress.go all ends but the error line's went by the deferred nc.Close() of serveConn or by nc.Close() in admit and Close (idle time-out, eviction, drain, shutdown, a request that does not end), and lastLook gave the socket a deadline of 1 ms: Go fails a read whose deadline has passed before it looks, so that a node that did not run for 1 ms missed a request that lay there.

Change: hangUp half-closes, drops what comes within 200 ms (20 ms where a newcomer waits for the place, none once Close has given all its time), then closes; nothing else closes a client's connection but the hand-over's own descriptor. Nothing read behind the end is served. lastLook reads without a deadline (internal/nowait). Close ends after 700 ms at the most.

A real process stopped with requests in the sockets of 20 resting connections across its end, and one killed there: whoever was told +OK is found by the next start, and no other. Ruled out: the small writes that the system holds back: Go sets TCP_NODELAY, on passed descriptors too.

--- /dev/null
+++ b/cmd/harrierramp/leave_test.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"harrierramp/internal/journal"
+	"harrierramp/internal/testkit"
+)
+
+// held is a list whose one endpoint takes nothing new, so that messages for it are held.
+const held = `{"revision":41,"complete":true,"members":[{"id":"e","host_port":"127.0.0.1:9","locality":"z","flavor":"m","cell":7,"phase":"DRAINING","size":1}]}`
+
+// leaver is a node as the platform starts it, which is told to leave.
+type leaver struct {
+	cmd   *exec.Cmd
+	addr  string
+	state string
+	path  string // of its configuration
+	ended chan error
+}
+
+func newLeaver(t *testing.T, d *fakeDiscovery) *leaver {
+	t.Helper()
+	l := &leaver{state: t.TempDir(), path: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1)}
+	writeConfig(t, l.path, d.Listener.Addr().String())
+	l.cmd = exec.Command(os.Args[0])
+	l.cmd.Env = append(os.Environ(), childEnv+"=1", "ROUTER_CONFIG="+l.path, "ROUTER_STATE="+l.state,
+		"GORACE=atexit_sleep_ms=0") // the race detector sleeps for a second at the end
+	log, err := l.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewReader(log)
+	line, err := lines.ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, l.addr, _ = strings.Cut(strings.TrimSpace(line), " addr=")
+	go func() {
+		io.Copy(io.Discard, lines)
+		l.ended <- l.cmd.Wait()
+	}()
+	t.Cleanup(func() { l.cmd.Process.Kill() })
+	for end := time.Now().Add(patience); testkit.Ask(t, l.addr, enqueueFor("first", 60000)) != "+OK"; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the list does not come")
+		}
+	}
+	return l
+}
+
+func enqueueFor(id string, ms int) string {
+	return testkit.Enqueue(id, fmt.Sprintf("c=status,d=%d,dest=7", ms), "b")
+}
+
+func (l *leaver) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := l.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// leaves waits for the end, which is to be a good one and before SIGKILL would come.
+func (l *leaver) leaves(t *testing.T, told time.Time) {
+	t.Helper()
+	select {
+	case err := <-l.ended:
+		if took := time.Since(told); err != nil || took > 3700*time.Millisecond {
+			t.Errorf("it ends after %v, %v", took, err)
+		}
+	case <-time.After(patience):
+		t.Fatal("it does not end")
+	}
+}
+
+// owed is what the journal has for the next start.
+func (l *leaver) owed(t *testing.T) map[string]bool {
+	t.Helper()
+	j, err := journal.Read(l.state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ids := map[string]bool{}
+	for _, m := range j.Owed {
+		if m.Ended == nil {
+			ids[m.ID] = true
+		}
+	}
+	return ids
+}
+
+// While a node leaves, a second SIGTERM changes nothing, a new configuration is taken, clients are answered, and what
+// ends in that time is told at the new address.
+func TestSignalsWhileANodeLeaves(t *testing.T) {
+	t.Parallel()
+	before, after := newFakeDiscovery(t, held), newFakeDiscovery(t, "")
+	l := newLeaver(t, before)
+	nc, br := testkit.DialTest(t, l.addr)
+	testkit.MustSay(t, nc, br, enqueueFor("short", 1500), "+OK")
+	told := time.Now()
+	l.signal(t, syscall.SIGTERM)
+	testkit.MustSay(t, nc, br, enqueueFor("second", 60000), "+OK")
+	writeConfig(t, l.path, after.Listener.Addr().String())
+	l.signal(t, syscall.SIGHUP)
+	l.signal(t, syscall.SIGTERM)
+	receive(t, "a watch at the new address", after.watches)
+	testkit.MustSay(t, nc, br, enqueueFor("third", 60000), "+OK")
+	if got := receive(t, "the notice", after.notices); !strings.Contains(got, `"id":"short"`) {
+		t.Errorf("the notice is %q", got)
+	}
+	l.leaves(t, told)
+	if owed := l.owed(t); len(owed) != 3 || !owed["first"] || !owed["second"] || !owed["third"] {
+		t.Errorf("the next start finds %v", owed)
+	}
+}
+
+// A node that does not run in the moment in which it is to end its clients' connections finds requests on all of them and
+// the end of their time, in whatever order. Each client reads an answer or an end, never a reset, and what it was told is
+// what the next start finds.
+func TestRequestsThatLieInSocketsAsANodeLeaves(t *testing.T) {
+	t.Parallel()
+	for _, kill := range []bool{false, true} {
+		l := newLeaver(t, newFakeDiscovery(t, held))
+		var conns []net.Conn
+		var readers []*bufio.Reader
+		for range 20 {
+			nc, br := testkit.DialTest(t, l.addr)
+			testkit.MustSay(t, nc, br, testkit.Resp("PING"), "+PONG")
+			conns, readers = append(conns, nc), append(readers, br)
+		}
+		told := time.Now()
+		l.signal(t, syscall.SIGTERM)
+		time.Sleep(time.Until(told.Add(2500 * time.Millisecond))) // it ends connections 2.7 s after the signal
+		l.signal(t, syscall.SIGSTOP)
+		for i, nc := range conns {
+			if _, err := io.WriteString(nc, enqueueFor(fmt.Sprint("late", i), 60000)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Until(told.Add(2900 * time.Millisecond)))
+		if kill {
+			l.signal(t, syscall.SIGKILL)
+		}
+		l.signal(t, syscall.SIGCONT)
+		answered := map[string]bool{}
+		for i, br := range readers {
+			text, err := io.ReadAll(br)
+			if err != nil && !kill { // a process that is killed can't see to what it has not read
+				t.Errorf("connection %d: %v", i, err)
+			}
+			if string(text) == "+OK\r\n" {
+				answered[fmt.Sprint("late", i)] = true
+			}
+		}
+		if kill {
+			<-l.ended
+		} else {
+			l.leaves(t, told)
+		}
+		owed := l.owed(t)
+		for id := range answered {
+			if !owed[id] {
+				t.Errorf("%s was taken on, and the next start does not find it", id)
+			}
+		}
+		for id := range owed {
+			if strings.HasPrefix(id, "late") && !answered[id] && !kill {
+				t.Errorf("%s was not answered, and the next start finds it", id)
+			}
+		}
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"harrierramp/internal/backoff"
+	"harrierramp/internal/nowait"
 	"harrierramp/internal/wire"
 )
 
@@ -40,8 +41,9 @@
 	requestTimeout = time.Second            // from a request's first byte to its last, and to write an answer
 	closeGrace     = 500 * time.Millisecond // for requests that are half read when the node leaves
 	drainSettle    = 500 * time.Millisecond // the front hears of a drain within 0.1 s, and obeys 0.2 s later
-	lookTimeout    = time.Millisecond       // for a request that crosses the end of a wait for one
-	lingerTimeout  = 300 * time.Millisecond // in which a client may read why it is being hung up on
+	lingerTimeout  = 200 * time.Millisecond // in which a client may read its last answer while what it still sends is dropped
+	evictedLinger  = 20 * time.Millisecond  // the same, where a newcomer waits for the place
+	lookSize       = 512                    // of a request that crosses the end of a wait for one; the rest is read as ever
 )
 
 // Request is one message as a client hands it in.
@@ -230,6 +232,7 @@
 	moveTo func(net.Conn, Moved) error // passes a connection to the process that owns the node; nil in that
 	drains *time.Timer                 // set while the node is drained: when it goes off, connections end between requests
 	sends  bool                        // it has gone off
+	cut    bool                        // nothing is waited for any more: Close has given all its time
 	wg     sync.WaitGroup
 }
 
@@ -239,6 +242,7 @@
 	since   time.Time // of its last answer, or when it came
 	asked   bool      // it has made a request
 	evicted bool      // its place is wanted: it ends when its request, if it has one, is answered
+	ending  bool      // it gets nothing more; the client may still read
 }
 
 // NewServer serves clients on ln with at most so many connections. hand is called for each message, from many
@@ -287,15 +291,17 @@
 		select {
 		case c.room <- struct{}{}:
 		case <-c.stop:
-			nc.Close()
+			c.hangUp(nc)
 			return false
 		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		<-c.room
-		nc.Close()
+		go func() { // no longer than hangUp may take
+			defer func() { <-c.room }()
+			c.hangUp(nc)
+		}()
 		return false
 	}
 	c.open[nc] = &peer{idle: true, since: time.Unix(0, m.Since), asked: m.Came > 0}
@@ -386,12 +392,17 @@
 	return len(c.open)
 }
 
-// evict calls back the connection that has stood longest between requests, if there is one.
+// evict calls back a connection that is ending anyway, or else the one that has stood longest between requests, if there
+// is one.
 func (c *Server) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var victim net.Conn
 	for nc, p := range c.open {
+		if p.ending && !p.evicted {
+			victim = nc
+			break
+		}
 		if p.idle && !p.evicted && (victim == nil || p.since.Before(c.open[victim].since)) {
 			victim = nc
 		}
@@ -419,15 +430,41 @@
 }
 
 // lastLook tells whether a request has come after all when the wait for one has been ended: a connection is not
-// closed over a request that the client has sent.
-func lastLook(nc net.Conn, r *bufio.Reader, err error) bool {
-	if !errors.Is(err, os.ErrDeadlineExceeded) || nc.SetReadDeadline(time.Now().Add(lookTimeout)) != nil {
+// closed over a request that lies in its socket.
+func lastLook(nc net.Conn, t *tape, err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
-	_, err = r.Peek(1)
+	var b [lookSize]byte
+	n, err := nowait.Read(nc, b[:])
+	t.again = append(t.again, b[:n]...)
 	return err == nil
 }
 
+// hangUp ends a connection, and is the only one that does. A close over bytes that lie unread, or come after it, resets
+// the connection, and takes the last answer with it. So our side ends first, and what comes then is dropped, never
+// served: a client that sent it knows from the end without an answer that it is to send it again. That lasts until the
+// client has ended its side too, or lingerTimeout, or maxSkipped bytes, or until the place is wanted.
+func (c *Server) hangUp(nc net.Conn) {
+	defer nc.Close()
+	half, ok := nc.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	c.mu.Lock()
+	patience := lingerTimeout
+	if p := c.open[nc]; p != nil {
+		if p.idle, p.ending = false, true; p.evicted {
+			patience = evictedLinger
+		}
+	}
+	lingers := !c.cut && nc.SetReadDeadline(time.Now().Add(patience)) == nil // under the lock: evict ends it
+	c.mu.Unlock()
+	if lingers {
+		io.Copy(io.Discard, io.LimitReader(nc, maxSkipped)) // whatever comes, the connection ends next
+	}
+}
+
 // Drain sends clients away, or takes them again. PING says no at once. The front takes a while to hear of it, and
 // until then its new connections are served as ever; then each connection ends between requests; a new one, the
 // front's own among them, may make one.
@@ -468,13 +505,20 @@
 	}
 }
 
+// serveConn serves a connection to its end.
 func (c *Server) serveConn(nc net.Conn, m Moved) {
-	defer func() {
-		c.mu.Lock()
-		delete(c.open, nc)
-		c.mu.Unlock()
-		nc.Close()
-	}()
+	if c.converse(nc, m) {
+		nc.Close() // our descriptor alone: the connection is another process's
+	} else {
+		c.hangUp(nc)
+	}
+	c.mu.Lock()
+	delete(c.open, nc)
+	c.mu.Unlock()
+}
+
+// converse answers requests until the connection is to end, or is passed on to another process.
+func (c *Server) converse(nc net.Conn, m Moved) (passed bool) {
 	t := &tape{src: nc, again: m.Raw}
 	r := bufio.NewReaderSize(t, 4096)
 	since, came := time.Unix(0, m.Since), time.Time{}
@@ -485,17 +529,21 @@
 		t.restart(r)
 		// In this order: idle connections are called back by their deadline.
 		if nc.SetDeadline(since.Add(idleTimeout)) != nil {
-			return
+			return false
 		}
 		if r.Buffered() == 0 && len(t.again) == 0 && !c.mark(nc, true, since) {
-			if !c.moving() || c.moved(nc, t, since, came) {
-				return
+			if !c.moving() {
+				return false
+			} else if c.moved(nc, t, since, came) {
+				return true
 			}
 			continue
 		}
-		if _, err := r.Peek(1); err != nil && !lastLook(nc, r, err) {
-			if !c.moving() || !errors.Is(err, os.ErrDeadlineExceeded) || c.moved(nc, t, since, came) {
-				return
+		if _, err := r.Peek(1); err != nil && !lastLook(nc, t, err) {
+			if !c.moving() || !errors.Is(err, os.ErrDeadlineExceeded) {
+				return false
+			} else if c.moved(nc, t, since, came) {
+				return true
 			}
 			continue
 		}
@@ -504,7 +552,7 @@
 		}
 		c.mark(nc, false, since)
 		if nc.SetDeadline(came.Add(requestTimeout)) != nil {
-			return
+			return false
 		}
 		args, err := readCommand(r)
 		var line string
@@ -513,29 +561,23 @@
 			came = time.Time{}
 			continue // no request: the connection is as idle as before
 		case err == nil:
-			reply := c.command(args, came)
-			for reply == movedLine {
+			line = c.command(args, came)
+			for line == movedLine {
 				if c.moved(nc, t, since, came) {
-					return
+					return true
 				}
-				reply = c.command(args, came)
+				line = c.command(args, came)
 			}
-			line = reply
-		case errors.Is(err, errTooLarge):
+		case errors.Is(err, errTooLarge), errors.Is(err, errProtocol):
 			line = Answer{Failed: err.Error()}.line()
-		case errors.Is(err, errProtocol):
-			if _, err := io.WriteString(nc, Answer{Failed: err.Error()}.line()); err == nil {
-				linger(nc)
-			}
-			return
 		default:
-			return // the client went away inside a request
+			return false // the client went away inside a request
 		}
 		if nc.SetWriteDeadline(time.Now().Add(requestTimeout)) != nil {
-			return
+			return false
 		}
-		if _, err := io.WriteString(nc, line); err != nil {
-			return
+		if _, failed := io.WriteString(nc, line); failed != nil || errors.Is(err, errProtocol) {
+			return false
 		}
 		since, came = time.Now(), time.Time{}
 	}
@@ -604,16 +646,9 @@
 	return Answer{Failed: "unknown command"}.line()
 }
 
-// linger lets the client read the last answer: closing over unread bytes would reset the connection and take
-// the answer with it.
-func linger(nc net.Conn) {
-	if t, ok := nc.(*net.TCPConn); ok && t.CloseWrite() == nil && nc.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		io.Copy(io.Discard, io.LimitReader(nc, maxSkipped)) // whatever comes, the connection ends next
-	}
-}
-
 // Close stops accepting, hangs up on clients between requests, and lets the others have their answer first. A
-// client that is slow with the rest of its request must not hold the node until it is killed.
+// client that is slow with the rest of its request, or with reading, must not hold the node until it is killed: it
+// takes closeGrace and lingerTimeout at the most, but for answers that the node owes.
 func (c *Server) Close() {
 	close(c.stop)
 	c.ln.Close()
@@ -622,13 +657,21 @@
 	c.closed = true
 	c.callBackIdle()
 	c.mu.Unlock()
-	slow := time.AfterFunc(closeGrace, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		for nc := range c.open {
-			nc.Close()
-		}
-	})
-	defer slow.Stop()
+	defer time.AfterFunc(closeGrace, func() { c.callBackAll(false) }).Stop()
+	defer time.AfterFunc(closeGrace+lingerTimeout, func() { c.callBackAll(true) }).Stop()
 	c.wg.Wait()
 }
+
+// callBackAll ends every wait for the rest of a request; with cut every other as well, and no more are begun.
+func (c *Server) callBackAll(cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+	for nc, p := range c.open {
+		if cut {
+			nc.SetDeadline(time.Unix(1, 0))
+		} else if !p.ending {
+			callBack(nc)
+		}
+	}
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -275,35 +275,3 @@
 		t.Errorf("%d messages beside the whole one", len(handed))
 	}
 }
-
-func TestCloseDoesNotCrossARequest(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	far, _ := testkit.DialTest(t, ln.Addr().String())
-	near, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer near.Close()
-	r := bufio.NewReader(near)
-	callBack(near)
-	if _, err := r.Peek(1); err == nil || lastLook(near, r, err) {
-		t.Fatalf("%v, and a request where none has come", err)
-	}
-	callBack(near)
-	if _, err := io.WriteString(far, testkit.Resp("PING")); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := r.Peek(1); err == nil || !lastLook(near, r, err) {
-		t.Fatalf("%v, and a request is not seen", err)
-	}
-	if args, err := readCommand(r); err != nil || string(args[0]) != "PING" {
-		t.Errorf("got %q, %v", args, err)
-	}
-	if _, err := r.Peek(1); lastLook(near, r, io.EOF) {
-		t.Errorf("%v, and the end of a connection is taken for a request", err)
-	}
-}
--- /dev/null
+++ b/internal/nowait/nowait_test.go
@@ -0,0 +1,52 @@
+package nowait
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"harrierramp/internal/testkit"
+)
+
+// What has come is seen whatever deadline is set, and nothing is waited for.
+func TestWhatLiesInASocket(t *testing.T) {
+	for name, c := range map[string]struct {
+		peer func(t *testing.T, far *net.TCPConn)
+		want error
+		n    int
+	}{
+		"nothing": {func(*testing.T, *net.TCPConn) {}, ErrNothing, 0},
+		"bytes": {func(t *testing.T, far *net.TCPConn) {
+			if _, err := io.WriteString(far, "xyz"); err != nil {
+				t.Error(err)
+			}
+		}, nil, 2},
+		"an end": {func(_ *testing.T, far *net.TCPConn) { far.Close() }, io.EOF, 0},
+		"a reset": {func(_ *testing.T, far *net.TCPConn) {
+			far.SetLinger(0)
+			far.Close()
+		}, syscall.ECONNRESET, 0},
+	} {
+		for deadline, at := range map[string]time.Time{"none": {}, "one that has passed": time.Unix(1, 0)} {
+			near, far := testkit.Pair(t)
+			c.peer(t, far)
+			if name != "nothing" {
+				testkit.Queued(t, near)
+			}
+			if err := near.SetReadDeadline(at); err != nil {
+				t.Fatal(err)
+			}
+			n, err := Read(near, make([]byte, 2))
+			if n != c.n || !errors.Is(err, c.want) {
+				t.Errorf("%s, deadline %s: %d bytes, %v", name, deadline, n, err)
+			}
+		}
+	}
+	near, _ := net.Pipe()
+	if _, err := Read(near, make([]byte, 1)); !errors.Is(err, errors.ErrUnsupported) {
+		t.Errorf("what is no socket: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/testkit/sockets.go
@@ -0,0 +1,148 @@
+package testkit
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Pair is a connection on loopback, both ends of it.
+func Pair(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	out, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	in, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		out.Close()
+		in.Close()
+	})
+	return in.(*net.TCPConn), out.(*net.TCPConn)
+}
+
+// Queued waits until bytes, an end or a reset lie in a socket, and leaves them there.
+func Queued(t *testing.T, nc syscall.Conn) {
+	t.Helper()
+	raw, err := nc.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	Eventually(t, "something lies in the socket", func() bool {
+		var peeked error
+		err := raw.Control(func(fd uintptr) {
+			// MSG_PEEK takes a pending error away: a reset is known by the state of the connection instead.
+			if closed(int(fd)) {
+				return
+			}
+			_, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+		return err == nil && !errors.Is(peeked, syscall.EAGAIN)
+	})
+}
+
+// closed tells that the other side has reset the connection.
+func closed(fd int) bool {
+	state, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
+	const tcpClose = 7
+	return err == nil && state&0xff == tcpClose
+}
+
+// Stop is a connection that calls a function of the test's once, before its own side ends: at the half-close, or at the
+// close if that comes first.
+type Stop struct {
+	*net.TCPConn
+	Ends func(nc *net.TCPConn)
+	once sync.Once
+}
+
+// CloseWrite ends the sending side.
+func (s *Stop) CloseWrite() error {
+	s.once.Do(func() { s.Ends(s.TCPConn) })
+	return s.TCPConn.CloseWrite()
+}
+
+// Close ends the connection.
+func (s *Stop) Close() error {
+	s.once.Do(func() { s.Ends(s.TCPConn) })
+	return s.TCPConn.Close()
+}
+
+// StopListener accepts connections that are Stops.
+type StopListener struct {
+	*net.TCPListener
+	Ends func(nc *net.TCPConn)
+}
+
+// Accept waits for the next connection.
+func (l StopListener) Accept() (net.Conn, error) {
+	nc, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &Stop{TCPConn: nc, Ends: l.Ends}, nil
+}
+
+// Deaf is an address where connections never come up: its queue is full, and nobody accepts.
+func Deaf(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(at.(*syscall.SockaddrInet4).Port))
+	for range 8 {
+		nc, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if os.IsTimeout(err) {
+			return addr
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+	}
+	t.Fatal("connections come up all the same")
+	return ""
+}
+
+// Dialing counts this process's connections to addr that have not come up yet.
+func Dialing(t *testing.T, addr string) int {
+	t.Helper()
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := os.ReadFile("/proc/self/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const synSent = "02"
+	return strings.Count(string(table), fmt.Sprintf(":%04X %s ", at.Port(), synSent))
+}
