Look at an idle connection before a call takes it, and bound what a dial and an answer may take

Cause, by reading, then forced on real sockets, all in internal/egress/pool.go: - take called the watch of an idle connection back by a deadline in the past and went by its time-out.

Change: take reads what lies in the socket without a deadline. An answer ends 1 s after its first byte, 250 ms after a first line with 200. Place and dial share the dial's time. A Send says by when it may begin at the latest (BeginBy), and the call is Stale, proven not to have run, after that. What is shut is not kept.

Ruled out: two takers of one connection, HangUp or Close against give: all under one lock, and give looks at the seal and at the endpoint under it.

--- a/choice/account.go
+++ b/choice/account.go
@@ -73,7 +73,15 @@
 // windowEnd is the last moment at which a keyed message's repeat is surely dropped: its call may begin as
 // late as a connect takes at the most.
 func (s *Sender) windowEnd(m *message) time.Duration {
-	return m.mayRun + m.class.Window - s.cfg.DialTimeout - endMargin - 2*s.cfg.Tick
+	return s.beginBy(m) - s.cfg.DialTimeout
+}
+
+// beginBy is the last moment at which a repeat of a keyed message may begin; 0 for none.
+func (s *Sender) beginBy(m *message) time.Duration {
+	if m.class.Effect != Keyed || !m.touched {
+		return 0
+	}
+	return m.mayRun + m.class.Window - endMargin - 2*s.cfg.Tick
 }
 
 // even is a sender's even part of what a route takes; all of it where the route stands for all senders.
--- a/choice/checker_test.go
+++ b/choice/checker_test.go
@@ -213,6 +213,8 @@
 		w.t.Fatalf("%v: unsafe %s sent again", w.now, a.ID)
 	case m.class.Effect == Keyed && m.touched && w.now > m.first+m.class.Window:
 		w.t.Fatalf("%v: keyed %s sent after its window", w.now, a.ID)
+	case m.class.Effect == Keyed && m.touched && (a.BeginBy <= 0 || a.BeginBy > m.first+m.class.Window):
+		w.t.Fatalf("%v: keyed %s may begin until %v, and its window ends at %v", w.now, a.ID, a.BeginBy, m.first+m.class.Window)
 	case m.class.Effect == Keyed && m.touched && !m.class.GroupAll && p.Zone != m.zone:
 		w.t.Fatalf("%v: keyed %s sent outside its group", w.now, a.ID)
 	case m.out > 0 && !w.cfg.MayDuplicate:
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -797,7 +797,7 @@
 		o.out++
 		c.left++
 		c.repeatable = c.repeatable && o.class.Effect != Unsafe
-		s.do(Send{ID: o.id, Endpoint: e.id, NotPast: s.timeout(o, e)})
+		s.do(Send{ID: o.id, Endpoint: e.id, NotPast: s.timeout(o, e), BeginBy: s.beginBy(o)})
 	}
 	if s.governed(d) {
 		s.useGrant(e)
--- a/choice/types.go
+++ b/choice/types.go
@@ -220,10 +220,11 @@
 // Action is one decision: Send, PushBack, Fail, Cancel, Probe, HangUp, Tell, Wake, Watch or Note.
 type Action interface{ action() }
 
-// Send calls an endpoint with a message; it is abandoned at NotPast.
+// Send calls an endpoint with a message; it is abandoned at NotPast. Nothing of it is written after BeginBy, however long
+// its connection takes: a repeat that comes later may run again. BeginBy is 0 where NotPast is the only bound.
 type Send struct {
-	ID, Endpoint string
-	NotPast      time.Duration
+	ID, Endpoint     string
+	NotPast, BeginBy time.Duration
 }
 
 // PushBack ends a message undelivered; the client may safely come again after RetryAfter.
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/nowait"
 )
 
 // net/http's Transport is not used for calls: it takes a request with an Idempotency-Key for replayable and
@@ -33,6 +34,11 @@
 	loadHeader    = "Endpoint-Load-Metrics"
 	maxContinues  = 8 // 1xx answers ahead of the real one
 	longestWait   = 10 * time.Minute
+	// An answer is written at once, and holds 64 KiB at most: once its first byte has come, a link that is of any use
+	// brings the rest in answerRest. What follows a first line with 200 says nothing more, and only decides whether the
+	// connection serves again; so it is not worth holding the slot for longer than a slow round trip.
+	answerRest    = time.Second
+	deliveredRest = 250 * time.Millisecond
 )
 
 // Call is one attempt to be made.
@@ -41,7 +47,8 @@
 	Body     []byte
 	Endpoint *Endpoint
 	NotPast  time.Time
-	Rests    string // on which list and process, for RestsHeader; empty for no header
+	BeginBy  time.Time // no byte is written later; zero for any time before NotPast
+	Rests    string    // on which list and process, for RestsHeader; empty for no header
 }
 
 // RestsHeader names what a call rests on: the revision of the list, and which process of the node it is, with a dot between
@@ -103,30 +110,26 @@
 func (p *Pool) Do(ctx context.Context, c Call) Result {
 	ctx, cancel := context.WithDeadline(ctx, c.NotPast)
 	defer cancel()
-	request, err := encodeRequest(c)
-	if err != nil {
-		return Result{Outcome: choice.Stale}
-	}
-	if c.Endpoint.closedTo(time.Now()) || ctx.Err() != nil {
+	if c.late(ctx) {
 		return Result{Outcome: choice.Stale}
 	}
 	k := p.take(c.Endpoint)
 	reused := k != nil
 	if !reused {
-		dialing, cancel := context.WithCancel(ctx)
-		defer context.AfterFunc(p.sealed, cancel)()
-		defer cancel()
-		if !p.place(dialing) {
-			return Result{Outcome: choice.Stale}
-		}
-		if k, err = p.dial(dialing, c.Endpoint.Addr); err != nil && p.sealed.Err() != nil {
+		var err error
+		if k, err = p.open(ctx, c.Endpoint.Addr); errors.Is(err, errNoPlace) || (err != nil && p.sealed.Err() != nil) {
 			return Result{Outcome: choice.Stale}
 		} else if err != nil {
 			return Result{Outcome: choice.NoRoute}
 		}
 	}
-	// A dial takes up to a second; a wait told or a drain heard of meanwhile forbids the first byte.
-	if c.Endpoint.closedTo(time.Now()) || p.sealed.Err() != nil {
+	// A dial takes up to a second; what was told meanwhile, or the time that has passed, may forbid the first byte.
+	if c.late(ctx) || p.sealed.Err() != nil {
+		p.give(c.Endpoint, k)
+		return Result{Outcome: choice.Stale}
+	}
+	request, err := encodeRequest(c) // tells how long we wait from now on
+	if err != nil {
 		p.give(c.Endpoint, k)
 		return Result{Outcome: choice.Stale}
 	}
@@ -141,6 +144,27 @@
 	return res
 }
 
+// late tells that the call may not begin any more, or not now.
+func (c Call) late(ctx context.Context) bool {
+	now := time.Now()
+	return ctx.Err() != nil || c.Endpoint.closedTo(now) || (!c.BeginBy.IsZero() && now.After(c.BeginBy))
+}
+
+// errNoPlace says that no descriptor was to be had for a new connection.
+var errNoPlace = errors.New("no place for a connection")
+
+// open makes a new connection. What it takes, the wait for a place included, stays within the time of a dial: rules hang
+// on when a call can begin at the latest.
+func (p *Pool) open(ctx context.Context, addr string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	defer cancel()
+	defer context.AfterFunc(p.sealed, cancel)()
+	if !p.place(ctx) {
+		return nil, errNoPlace
+	}
+	return p.dial(ctx, addr)
+}
+
 func encodeRequest(c Call) ([]byte, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+c.Endpoint.Addr+"/v1/messages", bytes.NewReader(c.Body))
 	if err != nil {
@@ -179,15 +203,12 @@
 		break
 	}
 	p.mu.Unlock()
-	late := time.NewTimer(p.dialTimeout)
-	defer late.Stop()
 	select {
 	case p.places <- struct{}{}:
 		return true
-	case <-late.C:
 	case <-ctx.Done():
+		return false
 	}
-	return false
 }
 
 func (k *conn) Close() error {
@@ -197,15 +218,19 @@
 
 // dial opens a connection in a place that was taken for it.
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: p.dialTimeout, LocalAddr: p.source}
+	d := net.Dialer{LocalAddr: p.source}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	ended := sync.OnceFunc(func() { <-p.places })
 	if err != nil {
 		ended()
 		return nil, err
 	}
+	return newConn(nc, addr, ended), nil
+}
+
+func newConn(nc net.Conn, addr string, ended func()) *conn {
 	l := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, addr: addr, limit: l, br: bufio.NewReaderSize(l, 4096), ended: ended}, nil
+	return &conn{Conn: nc, addr: addr, limit: l, br: bufio.NewReaderSize(l, 4096), ended: ended}
 }
 
 // exchange writes the request, which counts among the tries once it is written whole, and reads the answer; reuse
@@ -232,14 +257,22 @@
 }
 
 // answer reads one answer and tells whether the connection may carry another call. One that can't be read to its
-// end proves nothing, whatever it began to say, but for a first line with 200: that line holds.
+// end proves nothing, whatever it began to say, but for a first line with 200: that line holds. One that has begun has so
+// long to end.
 func (k *conn) answer() (Result, bool, error) {
 	for range maxContinues {
 		k.limit.N = maxAnswerHead + maxAnswerBody
-		delivered := k.saysDelivered()
+		delivered := false
+		if k.begins() {
+			if delivered = k.saysDelivered(); delivered {
+				k.endBy(deliveredRest)
+			}
+		}
 		resp, err := http.ReadResponse(k.br, nil)
 		if err == nil && resp.StatusCode < 200 {
-			continue
+			if err = k.SetReadDeadline(time.Time{}); err == nil {
+				continue // the real answer may take its time
+			}
 		}
 		if err == nil {
 			var n int64
@@ -260,6 +293,18 @@
 	return Result{}, false, errors.New("answer: only 1xx")
 }
 
+// begins waits for the first byte of an answer, and bounds the time of the rest.
+func (k *conn) begins() bool {
+	_, err := k.br.Peek(1)
+	if err == nil {
+		k.endBy(answerRest)
+	}
+	return err == nil
+}
+
+// endBy has reads fail after so long. An error means that the connection is closed, and they fail at once.
+func (k *conn) endBy(d time.Duration) { k.SetReadDeadline(time.Now().Add(d)) }
+
 // saysDelivered looks ahead for a first line with 200, which may be the last that comes of the answer. It waits
 // for no more bytes than it takes to tell.
 func (k *conn) saysDelivered() bool {
@@ -331,18 +376,25 @@
 		k := kept[len(kept)-1]
 		p.drop(e.ID, len(kept)-1)
 		p.mu.Unlock()
-		// The watch is called back from its read. Had the endpoint closed or said anything, it would not
-		// end by this time-out, and a request would be a sure reset.
+		// The watch is called back from its read. Had it met an end or a byte, it would not end by this time-out; but
+		// what has come since it last looked it may not have seen, and a request would be a sure reset.
 		k.SetReadDeadline(time.Unix(1, 0))
 		err := <-k.watched
 		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && k.addr == e.Addr && k.SetReadDeadline(time.Time{}) == nil {
+		if errors.As(err, &timeout) && timeout.Timeout() && k.addr == e.Addr && k.silent() {
 			return k
 		}
 		k.Close()
 	}
 }
 
+// silent tells that a connection between calls is as it was left: nothing has come on it, and it has not ended.
+func (k *conn) silent() bool {
+	var b [1]byte
+	_, err := nowait.Read(k.Conn, b[:])
+	return errors.Is(err, nowait.ErrNothing)
+}
+
 // drop takes the i-th kept connection of an endpoint out; the lock is held.
 func (p *Pool) drop(id string, i int) {
 	p.size--
@@ -357,7 +409,9 @@
 	k.watched = make(chan error, 1)
 	k.limit.N = 1
 	p.mu.Lock()
-	if p.size >= p.maxIdle || p.sealed.Err() != nil || k.SetReadDeadline(time.Now().Add(p.idleFor)) != nil {
+	// Under the lock: whoever shuts an endpoint says so first, and then hangs up.
+	unwanted := e.Shut.Load() || e.Out.Load() || p.sealed.Err() != nil
+	if unwanted || p.size >= p.maxIdle || k.SetReadDeadline(time.Now().Add(p.idleFor)) != nil {
 		p.mu.Unlock()
 		k.Close()
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -794,6 +794,9 @@
 		n.figures.First(p.Dest, now.Sub(p.Came))
 	}
 	c := egress.Call{ID: p.ID, Key: p.Key, Body: p.Body, Endpoint: e, NotPast: n.wall(a.NotPast)}
+	if a.BeginBy > 0 {
+		c.BeginBy = n.wall(a.BeginBy)
+	}
 	if n.audit != nil && n.cfg.Audit.Mark {
 		c.Rests = n.version()
 	}
