Give up a silent watch before what it misses counts as told, and read lists that come indented

Cause: the platform's rule is that what a watch misses that has fallen silent counts as told 6 s after, whether or not it arrived. internal/listwatch/listwatch.go waited 10 s (Silence) for a line and as long for the first of a new watch. By reading: a list that comes indented ended its watch at the first line, for ever; half a message followed by empty lines counted as heard; a change with an older revision was taken; a dial outlives the ask in net/http and had no bound, so that asks anew where connections never come up took a descriptor each.

Change: one clock, from the ask on, dial and head included, and from the last whole message or empty line between messages: 4.5 s, two empty lines and half a second. A new watch has 750 ms where discovery is an agent on the node's machine, and pauses there reach 250 ms, not 2 s: what the agent gets at discovery's return counts at once. Messages are read as JSON values, on however many lines, bounded; a torn one ends the watch at once. A revision that goes back has the whole list asked for anew, which then holds. Dials end after 2 s. The project's own list service keeps its 10 s (Links ask another server beside it long before).

TestLinesOfAWatch told messages "{1}" and "{2}", which are no JSON: they are now, and it checks the same.

--- a/internal/listwatch/discovery.go
+++ b/internal/listwatch/discovery.go
@@ -1,7 +1,7 @@
 package listwatch
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -99,8 +99,13 @@
 	Told(wait time.Duration) (d time.Duration, ok bool)
 }
 
-// answerPatience is how long a server that says when to come may take to say anything.
-const answerPatience = 2 * time.Second
+const (
+	// answerPatience is how long a server that says when to come may take to say anything.
+	answerPatience = 2 * time.Second
+	// AgentPatience is the same of an agent of the platform's on the node's machine, which answers at once. After Silence
+	// there is 1.5 s left until what was missed counts as told: time for a second ask if the first meets silence as well.
+	AgentPatience = 750 * time.Millisecond
+)
 
 // Watcher follows the list.
 type Watcher struct {
@@ -108,6 +113,8 @@
 	Client *http.Client
 	At     *Addresses
 	Pause  backoff.Backoff // between watches, without Turns
+	// Patience is how long a server without Turns may take to say anything; 0 for Silence.
+	Patience time.Duration
 	// Turns pace the asks where the servers are the project's own, which say when to come; nil elsewhere. With Begin the
 	// first ask waits for its turn as well: the whole fleet may be starting.
 	Turns  Turns
@@ -192,7 +199,7 @@
 	s := &stream{turn: turn, began: time.Now()}
 	s.addr, s.ctx, s.cancel = f.At.Here(ctx, turn)
 	url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", s.addr, f.after)
-	w := Watch{Patience: Silence}
+	w := Watch{Patience: cmp.Or(f.Patience, Silence), Silence: Silence}
 	tell := func(m said) {
 		m.from = s
 		select {
@@ -201,7 +208,7 @@
 		}
 	}
 	if f.Turns != nil {
-		w.Patience = answerPatience
+		w.Patience, w.Silence = answerPatience, ServiceSilence
 		if held != 0 {
 			url += fmt.Sprintf("&turn=%d", held)
 		}
@@ -215,8 +222,8 @@
 		f.Asked()
 	}
 	f.streams.Go(func() {
-		err := Lines(s.ctx, f.Client, url, w, func(line []byte) error {
-			tell(said{text: bytes.Clone(line)})
+		err := Follow(s.ctx, f.Client, url, w, func(message []byte) error {
+			tell(said{text: message})
 			return nil
 		})
 		tell(said{err: err})
@@ -381,8 +388,14 @@
 	}
 	var l List
 	err := json.Unmarshal(m.text, &l)
-	if err == nil && f.Check != nil {
+	switch {
+	case err != nil:
+	case f.Check != nil:
 		l, err = f.Check(m.from.ctx, m.from.addr, l)
+	case l.Revision < f.after:
+		// A change that was overtaken, or a discovery that has begun anew. Its whole list, asked for anew, tells.
+		err = fmt.Errorf("%w: revision %d after %d", errOlderList, l.Revision, f.after)
+		f.after = 0
 	}
 	if err != nil {
 		return err
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -17,19 +18,24 @@
 )
 
 const (
-	maxLine = 4 << 20
-	// Silence is how long a watch may say nothing. An empty line comes every 2 s while the server is up.
-	Silence = 10 * time.Second
+	maxMessage = 4 << 20
+	// Silence is how long a watch of the platform's discovery may go without a whole message or an empty line, which comes
+	// every 2 s while it is up. What a silent watch misses counts as told 6 s after it fell silent. So two empty lines
+	// may be missing, and what is left of the 6 s is for the watch that is opened in its place.
+	Silence = 4500 * time.Millisecond
+	// ServiceSilence is the same of the project's own list service, which is asked beside when it is silent: see Links.
+	ServiceSilence = 10 * time.Second
+	// dialTimeout bounds a dial, which goes on for others when the ask has ended that it was made for.
+	dialTimeout = answerPatience
 )
 
 // NewClient makes the client for watches, whose connections come from source, or from where the system chooses if that is
 // nil.
 func NewClient(source net.Addr) *http.Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
-	if source != nil {
-		t.DialContext = (&net.Dialer{LocalAddr: source}).DialContext
-	}
-	return &http.Client{Transport: t}
+	dialer := &net.Dialer{LocalAddr: source, Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: dialer.DialContext,
+	}}
 }
 
 const maxSaid = 64 << 10 // of an answer to a Post
@@ -107,14 +113,19 @@
 
 // Watch is how a watch is followed. The functions may be nil.
 type Watch struct {
-	Patience time.Duration // for the first line
+	Patience time.Duration // from the ask, dial and head of the answer included, to the first message or empty line
+	Silence  time.Duration // from one to the next; 0 for Silence
 	Opened   func(beat time.Duration)
-	Heard    func() // for each line, also an empty one
+	Heard    func() // for each message, and each empty line between messages
 }
 
-// Lines follows one watch to its end, which is always an error, and hands on each line that is not empty. A watch that
-// has gone silent is given up: its machine may be gone.
-func Lines(ctx context.Context, client *http.Client, url string, w Watch, line func([]byte) error) error {
+// Follow follows one watch to its end, which is always an error, and hands on each message: a JSON value, on one line or
+// indented over many. A watch that has gone silent is given up, for its machine may be gone; one that goes on with half a
+// message, or with empty lines inside one, is silent too.
+func Follow(ctx context.Context, client *http.Client, url string, w Watch, message func([]byte) error) error {
+	if w.Silence == 0 {
+		w.Silence = Silence
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(w.Patience, cancel)
@@ -136,23 +147,75 @@
 	}
 	if w.Opened != nil {
 		ms, err := strconv.ParseInt(resp.Header.Get(BeatHeader), 10, 64)
-		if err != nil || ms < 0 || ms > Silence.Milliseconds() {
+		if err != nil || ms < 0 || ms > ServiceSilence.Milliseconds() {
 			ms = 0 // it says something when it likes
 		}
 		w.Opened(time.Duration(ms) * time.Millisecond)
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 16<<10), maxLine)
-	for lines.Scan() {
-		silence.Reset(Silence)
+	heard := func() {
+		silence.Reset(w.Silence)
 		if w.Heard != nil {
 			w.Heard()
 		}
-		if text := bytes.TrimSpace(lines.Bytes()); len(text) > 0 {
-			if err := line(text); err != nil {
-				return fmt.Errorf("watch: %w", err)
+	}
+	in := &feed{r: newFeedReader(resp.Body), empty: heard}
+	return fmt.Errorf("watch: %w", in.messages(message, heard))
+}
+
+// feed is what a decoder of messages reads. It keeps empty lines between messages from it, which say that the server is
+// there, and bounds what a message may hold.
+type feed struct {
+	r      *bufio.Reader
+	empty  func()
+	piece  []byte // of a line, and what is left of it to hand on
+	within bool   // a message has begun
+	size   int    // of it so far
+}
+
+func newFeedReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, 16<<10) }
+
+// messages hands on each message, and tells whole that one has come, to the end, which is always an error.
+func (f *feed) messages(message func([]byte) error, whole func()) error {
+	for d := json.NewDecoder(f); ; {
+		var raw json.RawMessage
+		if err := d.Decode(&raw); err != nil {
+			return err
+		}
+		f.ended(d.Buffered())
+		whole()
+		if err := message(raw); err != nil {
+			return err
+		}
+	}
+}
+
+func (f *feed) Read(p []byte) (int, error) {
+	for len(f.piece) == 0 {
+		piece, err := f.r.ReadSlice('\n')
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) && len(piece) == 0 {
+			return 0, err
+		}
+		if len(bytes.TrimSpace(piece)) > 0 {
+			f.within = true
+		} else if !f.within {
+			if err == nil {
+				f.empty()
 			}
+			continue
+		}
+		if f.size += len(piece); f.size > maxMessage {
+			return 0, fmt.Errorf("a message over %d bytes", maxMessage)
 		}
+		f.piece = piece
 	}
-	return errors.Join(lines.Err(), io.EOF)
+	n := copy(p, f.piece)
+	f.piece = f.piece[n:]
+	return n, nil
+}
+
+// ended notes that a message has ended, behind which the decoder has read so much.
+func (f *feed) ended(behind io.Reader) {
+	rest, _ := io.ReadAll(behind) // of a buffer: no error
+	f.size = len(rest)
+	f.within = len(bytes.TrimSpace(rest)) > 0
 }
--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -26,15 +26,15 @@
 	return srv.URL
 }
 
-func TestLinesOfAWatch(t *testing.T) {
-	url := serve(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{1}\n\n\n{2}\n") })
+func TestAWatchOverHTTP(t *testing.T) {
+	url := serve(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{\"n\":1}\n\n\n{\"n\":2}\n") })
 	var got []string
 	heard := 0
-	err := Lines(t.Context(), http.DefaultClient, url, Watch{Patience: Silence, Heard: func() { heard++ }}, func(l []byte) error {
+	err := Follow(t.Context(), http.DefaultClient, url, Watch{Patience: Silence, Heard: func() { heard++ }}, func(l []byte) error {
 		got = append(got, string(l))
 		return nil
 	})
-	if !errors.Is(err, io.EOF) || heard != 4 || !slices.Equal(got, []string{"{1}", "{2}"}) {
+	if !errors.Is(err, io.EOF) || heard != 4 || !slices.Equal(got, []string{`{"n":1}`, `{"n":2}`}) {
 		t.Errorf("got %q, heard %d lines, %v", got, heard, err)
 	}
 }
@@ -43,7 +43,7 @@
 	url := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		http.Error(w, "no list yet"+strings.Repeat("x", 1<<20), http.StatusServiceUnavailable)
 	})
-	err := Lines(t.Context(), http.DefaultClient, url, Watch{Patience: Silence}, nil)
+	err := Follow(t.Context(), http.DefaultClient, url, Watch{Patience: Silence}, nil)
 	var status *StatusError
 	if !errors.As(err, &status) || status.Code != 503 || !strings.HasPrefix(status.Text, "no list yet") || len(status.Text) > 256 {
 		t.Errorf("got %v", err)
@@ -53,11 +53,11 @@
 func TestALineThatIsRefusedEndsTheWatch(t *testing.T) {
 	bad := errors.New("bad")
 	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		io.WriteString(w, "{1}\n")
+		io.WriteString(w, "{\"n\":1}\n")
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	})
-	if err := Lines(t.Context(), http.DefaultClient, url, Watch{Patience: Silence}, func([]byte) error { return bad }); !errors.Is(err, bad) {
+	if err := Follow(t.Context(), http.DefaultClient, url, Watch{Patience: Silence}, func([]byte) error { return bad }); !errors.Is(err, bad) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -71,7 +71,7 @@
 			return here, nil
 		}}}
 		defer client.CloseIdleConnections()
-		if err := Lines(t.Context(), client, "http://silent/", Watch{Patience: Silence}, nil); !errors.Is(err, context.Canceled) {
+		if err := Follow(t.Context(), client, "http://silent/", Watch{Patience: Silence}, nil); !errors.Is(err, context.Canceled) {
 			t.Errorf("got %v", err)
 		}
 	})
--- a/internal/node/listservice.go
+++ b/internal/node/listservice.go
@@ -20,6 +20,9 @@
 		Log: n.log, Client: n.client, At: n.discovery, Pause: askPauses(n.cfg.Settings), Heard: n.figures.ListLine,
 		Turned: func() { n.figures.ListTurns.Add(1) }, Tell: tell,
 	}
+	if !n.cfg.Settings.AskForList {
+		w.Patience = listwatch.AgentPatience
+	}
 	if n.cfg.Registry != nil {
 		w.Turns, w.Begin, w.Check = n.turn(), n.cold != nil && !n.cold.Whole(), n.newDoubt().Check
 		w.Trouble, w.Nudged = n.late, n.nudge
