Let senders that can't tell one another anything find an untold limit each by themselves

Cause: where the settings give no weights, reports or notes between nodes, no pace bound a sender: pace() returned unbound, cut() halved a part of a limit that nobody had told, and found() answered only for keepers, whom such a fleet has not. So all went on asking a destination whose refused calls use up its limit.

Change: cut notes when it cut, and found takes what such a sender itself passed in its best second, and more with time, as the limit that its part is a part of. Fleets with notes, weights or reports decide as before. The mark goes over a hand-over with the route.

--- a/choice/carry.go
+++ b/choice/carry.go
@@ -28,7 +28,7 @@
 		"part": &r.part, "partAt": &r.partAt, "tokens": &r.tokens, "tokensAt": &r.tokensAt, "fails": &r.fails,
 		"failedAt": &r.failedAt, "rest": &r.rest, "sick": &r.sick, "harmless": &r.harmless, "trialAt": &r.trialAt,
 		"backoff": &r.backoff, "trial": &r.trial, "coldFrom": &r.coldFrom, "struckAt": &r.struckAt, "demand": &r.demand,
-		"busiest": &r.busiest, "passed": &r.passed, "passedAt": &r.passedAt,
+		"busiest": &r.busiest, "passed": &r.passed, "passedAt": &r.passedAt, "cutAt": &r.cutAt,
 	}
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -428,7 +428,7 @@
 		r.part = min(r.part, 2*d.rate(s.now)/limit)
 	}
 	r.part = max(r.part*partCut, 0.5/float64(s.cfg.Fleet))
-	r.partAt = s.now
+	r.partAt, r.cutAt = s.now, s.now
 	r.tokens = min(r.tokens, s.rng.Float64())
 }
 
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -324,10 +324,10 @@
 	return best
 }
 
-// found is what all take as the limit of a route that tells none and has refused: what it passed in its best
-// second, and more with time.
+// found is what is taken as the limit of a route that tells none and has refused: what it passed in its best
+// second, and more with time. Senders that can't tell one another anything find each its own.
 func (s *Sender) found(r *route) float64 {
-	if !r.whole || r.cutAt == 0 || r.reported {
+	if r.cutAt == 0 || r.reported || (!r.whole && s.shared()) {
 		return 0
 	}
 	return r.best(s.now) * (1 + foundGrow*seconds(s.now-r.cutAt))
