Log what a restart finds and how it ends, so that untried messages given up can be counted

journal_replayed says how many are untried; at level debug message_found names each, message_ended the final answer of one that was not delivered.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -156,15 +156,19 @@
 			events = append(events, choice.Dropped{ID: id})
 		}
 	}
-	resumed := 0
+	resumed, untried := 0, 0
 	for _, p := range n.journal.Owed() {
 		if p.Ended == nil && !carried[p.ID] {
 			events = append(events, n.resumed(p))
 			resumed++
+			if len(p.Sends) == 0 {
+				untried++
+			}
+			n.log.Debug("message_found", "msg_id", p.ID, "class", p.Class, "dest", p.Dest, "sends", len(p.Sends), "left", time.Until(p.Deadline))
 		}
 	}
 	if len(n.messages) > 0 {
-		n.log.Info("journal_replayed", "resumed", resumed, "carried", len(carried), "notices", len(n.owed), "out", n.remote)
+		n.log.Info("journal_replayed", "resumed", resumed, "untried", untried, "carried", len(carried), "notices", len(n.owed), "out", n.remote)
 	}
 	return events
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -758,6 +758,7 @@
 	} else {
 		n.figures.Shed(p.Class)
 	}
+	n.log.Debug("message_ended", "msg_id", id, "failed", e.Failed, "after", e.After, "sends", len(p.Sends), "left", time.Until(p.Deadline))
 	if a, ok := fresh[id]; ok {
 		delete(fresh, id)
 		n.forget(p)
