End a peer without a proper request 3 s after its connection, also if it begins one at the last moment

A request had 1 s from its first byte (requestTimeout, internal/ingress/ingress.go, converse), and the first byte may come until 2.2 s: 3.2 s. Found by listing where constants come from. The first request now has to be there 2.8 s after the connection. Test: half a request 50 ms before the end of the wait, 3.15 s before, 2.8 s now.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -38,12 +38,13 @@
 	// at once and wait 400 ms for its answer; the platform lets a connection without a request go after 2 s,
 	// and wants to see an answer or a close 3 s after it came.
 	idleTimeout    = 2200 * time.Millisecond
-	requestTimeout = time.Second            // from a request's first byte to its last, and to write an answer
-	closeGrace     = 500 * time.Millisecond // for requests that are half read when the node leaves
-	drainSettle    = 500 * time.Millisecond // the front hears of a drain within 0.1 s, and obeys 0.2 s later
-	lingerTimeout  = 200 * time.Millisecond // in which a client may read its last answer while what it still sends is dropped
-	evictedLinger  = 20 * time.Millisecond  // the same, where a newcomer waits for the place
-	lookSize       = 512                    // of a request that crosses the end of a wait for one; the rest is read as ever
+	requestTimeout = time.Second             // from a request's first byte to its last, and to write an answer
+	firstTimeout   = 2800 * time.Millisecond // from the connection to the last byte of its first request
+	closeGrace     = 500 * time.Millisecond  // for requests that are half read when the node leaves
+	drainSettle    = 500 * time.Millisecond  // the front hears of a drain within 0.1 s, and obeys 0.2 s later
+	lingerTimeout  = 200 * time.Millisecond  // in which a client may read its last answer while what it still sends is dropped
+	evictedLinger  = 20 * time.Millisecond   // the same, where a newcomer waits for the place
+	lookSize       = 512                     // of a request that crosses the end of a wait for one; the rest is read as ever
 )
 
 // Request is one message as a client hands it in.
@@ -521,7 +522,7 @@
 func (c *Server) converse(nc net.Conn, m Moved) (passed bool) {
 	t := &tape{src: nc, again: m.Raw}
 	r := bufio.NewReaderSize(t, 4096)
-	since, came := time.Unix(0, m.Since), time.Time{}
+	since, came, asked := time.Unix(0, m.Since), time.Time{}, m.Came > 0
 	if len(m.Raw) > 0 {
 		came = time.Unix(0, m.Came)
 	}
@@ -551,7 +552,11 @@
 			came = time.Now()
 		}
 		c.mark(nc, false, since)
-		if nc.SetDeadline(came.Add(requestTimeout)) != nil {
+		until := came.Add(requestTimeout)
+		if first := since.Add(firstTimeout); !asked && first.Before(until) {
+			until = first
+		}
+		if nc.SetDeadline(until) != nil {
 			return false
 		}
 		args, err := readCommand(r)
@@ -579,7 +584,7 @@
 		if _, failed := io.WriteString(nc, line); failed != nil || errors.Is(err, errProtocol) {
 			return false
 		}
-		since, came = time.Now(), time.Time{}
+		since, came, asked = time.Now(), time.Time{}, true
 	}
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -177,6 +177,10 @@
 		"silent":      func(net.Conn) {},
 		"empty lines": func(nc net.Conn) { drip(nc, strings.Repeat("\r\n", 100), 500*time.Millisecond) },
 		"slow":        func(nc net.Conn) { drip(nc, testkit.Enqueue("a", "c=notice,d=8000,dest=7", "b"), 100*time.Millisecond) },
+		"half a request at the last moment": func(nc net.Conn) {
+			time.Sleep(idleTimeout - 50*time.Millisecond)
+			io.WriteString(nc, "*5\r\n$7\r\nENQ")
+		},
 		"not reading": func(nc net.Conn) { io.WriteString(nc, testkit.Resp("PING")) },
 		"silent after a request": func(nc net.Conn) {
 			io.WriteString(nc, testkit.Resp("PING"))
