List every constant of the decisions and the node with where it comes from, held to the code by a test

The test reads the constants of choice and of the packages that the deploy file names, and fails for one that the page lacks, has with another value, or has though it is gone.

--- /dev/null
+++ b/cmd/harrierramp/constants_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"bytes"
+	"go/ast"
+	"go/parser"
+	"go/printer"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// Formats and exit statuses bear on no time, count or share.
+var noFigures = map[string]string{
+	"choice":              "noteAsk noteGrant noteEnd noteHand noteCold noteSize",
+	"internal/acts":       "Format sumBytes",
+	"internal/cli":        "statusFailed statusUsage epochShift",
+	"internal/journal":    "recordHead",
+	"internal/membership": "Magic version headSize digestWidth",
+	"internal/statedir":   "Format",
+	"internal/straggler":  "Magic version wordSize",
+}
+
+// docs/constants.md has each constant of the decisions and of the node's packages, with its value, and no others.
+func TestThePageListsTheConstants(t *testing.T) {
+	const root = "../.."
+	deploy, err := os.ReadFile(root + "/deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	node := regexp.MustCompile(`(?m)^node = \[(.*?)\]`).FindSubmatch(deploy)
+	if node == nil {
+		t.Fatal("the deploy file names no packages")
+	}
+	want := map[string]string{}
+	for _, m := range regexp.MustCompile(`"([^"]+)"`).FindAllStringSubmatch(string(node[1])+`, "choice"`, -1) {
+		constants(t, root, m[1], want)
+	}
+	page, err := os.ReadFile(root + "/docs/constants.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	section, seen := "", map[string]bool{}
+	for _, line := range strings.Split(string(page), "\n") {
+		if s, ok := strings.CutPrefix(line, "## "); ok {
+			section = s
+		}
+		m := regexp.MustCompile("^\\| `([^`]+)` \\| `([^`]+)` \\| ([^|]+) \\| ([^|]+) \\|$").FindStringSubmatch(line)
+		if m == nil {
+			continue
+		}
+		name := section + "." + m[1]
+		if seen[name] = true; want[name] != m[2] {
+			t.Errorf("the page says that %s is %s, and it is %q", name, m[2], want[name])
+		}
+	}
+	for name := range want {
+		if !seen[name] {
+			t.Errorf("the page lacks %s", name)
+		}
+	}
+}
+
+// constants notes the figures among a package's constants, as they are written.
+func constants(t *testing.T, root, dir string, into map[string]string) {
+	files, err := filepath.Glob(filepath.Join(root, dir, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := token.NewFileSet()
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		f, err := parser.ParseFile(set, name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range f.Decls {
+			g, ok := d.(*ast.GenDecl)
+			if !ok || g.Tok != token.CONST {
+				continue
+			}
+			for _, s := range g.Specs {
+				s := s.(*ast.ValueSpec)
+				for i, v := range s.Values {
+					var text bytes.Buffer
+					if err := printer.Fprint(&text, set, v); err != nil {
+						t.Fatal(err)
+					}
+					figure := !strings.ContainsAny(text.String(), "\"`") && !strings.Contains(text.String(), "iota")
+					if figure && !strings.Contains(" "+noFigures[dir]+" ", " "+s.Names[i].Name+" ") {
+						into[dir+"."+s.Names[i].Name] = text.String()
+					}
+				}
+			}
+		}
+	}
+}
