Name no partner's kind of one deployment in the example and the demonstration

The example of a configuration and the demonstration's partners bore the name of a kind of one customer's settings.

--- a/internal/config/print.go
+++ b/internal/config/print.go
@@ -19,7 +19,7 @@
 		"delivery.class[].name": `"notice"`, "delivery.class[].aim": `"4s"`, "delivery.class[].deadline": `"30s"`,
 		"delivery.class[].effect": `"idempotent"`, "delivery.class[].worth": "1.0", "delivery.class[].late_worth": "0.3",
 		"delivery.tenant[].name": `"acme"`, "delivery.tenant[].per_second": "100.0",
-		"delivery.zones": `["a", "b"]`, "delivery.kinds": `["employer"]`,
+		"delivery.zones": `["a", "b"]`, "delivery.kinds": `["office"]`,
 	}
 	b := &strings.Builder{}
 	b.WriteString("# A node of harrierramp. 'harrierramp config check FILE' tells what is wrong with one.\n")
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -116,8 +116,8 @@
 	for i, cfg := range []partner.Config{
 		{ID: "portal-1", Latency: 20 * time.Millisecond},
 		{ID: "portal-2", Latency: 40 * time.Millisecond},
-		{ID: "employer-1", Rate: 25, Burst: 5, Latency: 60 * time.Millisecond},
-		{ID: "employer-2", Latency: 30 * time.Millisecond},
+		{ID: "office-1", Rate: 25, Burst: 5, Latency: 60 * time.Millisecond},
+		{ID: "office-2", Latency: 30 * time.Millisecond},
 	} {
 		p, err := partner.Start(cfg, f.ledger)
 		if err != nil {
@@ -275,10 +275,10 @@
 		})
 	}
 	pause(ctx, f.For/3)
-	fmt.Fprintln(f.Out, "partner employer-2 shuts")
+	fmt.Fprintln(f.Out, "partner office-2 shuts")
 	out.Shut(true)
 	pause(ctx, f.For/3)
-	fmt.Fprintln(f.Out, "partner employer-2 is back")
+	fmt.Fprintln(f.Out, "partner office-2 is back")
 	out.Shut(false)
 	senders.Wait()
 	r.Taken = len(taken)
