--- a/internal/egress/cross_test.go
+++ b/internal/egress/cross_test.go
@@ -240,34 +240,79 @@
 	}
 }
 
-// A connection whose endpoint has been shut while a call was out is not kept.
-func TestAConnectionOfAShutEndpointIsNotKept(t *testing.T) {
-	inside, goOn, ended := make(chan struct{}), make(chan struct{}), make(chan error, 1)
-	p := testkit.NewPartner(t, func(nc net.Conn, _ *http.Request) bool {
-		close(inside)
-		<-goOn
-		io.WriteString(nc, testkit.Delivered)
-		_, err := bufio.NewReader(nc).ReadByte()
-		ended <- err
-		return false
-	})
-	pool, e := testPool(), endpointAt(p.Addr())
-	defer pool.Close()
-	res := make(chan Result)
-	go func() { res <- pool.Do(t.Context(), testCall(e)) }()
-	<-inside
-	e.Shut.Store(true)
-	pool.HangUp(e.ID)
-	close(goOn)
-	if got := <-res; got.Outcome != choice.Pass {
-		t.Errorf("%+v", got)
+// A connection that nobody may use any more by the time its call ends is not kept.
+func TestAConnectionThatNobodyMayUseIsNotKept(t *testing.T) {
+	for name, change := range map[string]func(*Pool, *Endpoint){
+		"the endpoint is shut": func(pool *Pool, e *Endpoint) {
+			e.Shut.Store(true)
+			pool.HangUp(e.ID)
+		},
+		"operators have taken it out": func(pool *Pool, e *Endpoint) {
+			e.Out.Store(true)
+			pool.HangUp(e.ID)
+		},
+		"the pool is closed": func(pool *Pool, _ *Endpoint) { pool.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inside, goOn, ended := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+			p := testkit.NewPartner(t, func(nc net.Conn, _ *http.Request) bool {
+				close(inside)
+				<-goOn
+				io.WriteString(nc, testkit.Delivered)
+				_, err := bufio.NewReader(nc).ReadByte()
+				ended <- err
+				return false
+			})
+			pool, e := testPool(), endpointAt(p.Addr())
+			defer pool.Close()
+			res := make(chan Result)
+			go func() { res <- pool.Do(t.Context(), testCall(e)) }()
+			<-inside
+			change(pool, e)
+			close(goOn)
+			if got := <-res; got.Outcome != choice.Pass {
+				t.Errorf("%+v", got)
+			}
+			select {
+			case err := <-ended:
+				if err != io.EOF {
+					t.Error(err)
+				}
+			case <-time.After(testkit.Patience):
+				t.Error("the connection is kept")
+			}
+		})
 	}
-	select {
-	case err := <-ended:
-		if err != io.EOF {
-			t.Error(err)
+}
+
+// A call that ends, or is called off, while its dial does not come up leaves neither a place taken nor a dial under way.
+func TestADialThatOutlivesItsCaller(t *testing.T) {
+	addr := testkit.Deaf(t)
+	for name, end := range map[string]func(cancel context.CancelFunc, pool *Pool, c *Call){
+		"called off":         func(cancel context.CancelFunc, _ *Pool, _ *Call) { cancel() },
+		"the pool is closed": func(_ context.CancelFunc, pool *Pool, _ *Call) { pool.Close() },
+		"out of time":        func(_ context.CancelFunc, _ *Pool, _ *Call) {},
+	} {
+		pool, call := NewPool(nil, time.Minute, time.Minute, 16, 1, new(atomic.Int64)), testCall(endpointAt(addr))
+		if name == "out of time" {
+			call.NotPast = time.Now().Add(100 * time.Millisecond)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		res := make(chan Result)
+		go func() { res <- pool.Do(ctx, call) }()
+		if name != "out of time" {
+			testkit.Eventually(t, "the dial is under way", func() bool { return testkit.Dialing(t, addr) == 1 })
+		}
+		end(cancel, pool, &call)
+		if got := <-res; got.Outcome != choice.NoRoute && got.Outcome != choice.Stale {
+			t.Errorf("%s: %+v", name, got)
+		}
+		if n := len(pool.places); n != 0 {
+			t.Errorf("%s: %d places are taken", name, n)
 		}
-	case <-time.After(testkit.Patience):
-		t.Error("the connection is kept")
+		testkit.Eventually(t, "no dial is under way", func() bool { return testkit.Dialing(t, addr) == 0 })
+		cancel()
+		pool.Close()
 	}
 }
--- a/internal/listwatch/follow_test.go
+++ b/internal/listwatch/follow_test.go
@@ -289,6 +289,47 @@
 	})
 }
 
+// While discovery moves, what the old one still says is not taken: the new one is asked after what was taken last, and
+// only it is heard from then on.
+func TestAMoveCrossesALine(t *testing.T) {
+	list := func(revision int) string {
+		return fmt.Sprintf("{\"revision\":%d,\"complete\":false,\"members\":[]}\n", revision)
+	}
+	bubble(t, func(t *testing.T) {
+		var asked []string
+		moved := make(chan struct{})
+		old := func(nc net.Conn) {
+			io.WriteString(nc, listHead+list(5))
+			<-moved
+			says(time.Millisecond, list(6), list(6))(nc) // the connection stays open for a while
+		}
+		client := agent(old, says(10*time.Millisecond, listHead, list(7)))
+		transport := client.Transport
+		client.Transport = roundTripper(func(r *http.Request) (*http.Response, error) {
+			asked = append(asked, r.URL.Host+" "+r.URL.Query().Get("after"))
+			return transport.RoundTrip(r)
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		at := NewAddresses([]string{"old"})
+		var told []int64
+		w := Watcher{
+			Log: slog.New(slog.DiscardHandler), Client: client, At: at, Patience: AgentPatience,
+			Pause: backoff.Backoff{First: 50 * time.Millisecond, Last: 250 * time.Millisecond}, Heard: func() {}, Turned: func() {},
+			Tell: func(l List) {
+				if told = append(told, l.Revision); l.Revision == 5 {
+					at.Move([]string{"new"})
+					close(moved)
+				}
+			},
+		}
+		w.Run(ctx, 0)
+		if !slices.Equal(told, []int64{5, 7}) || !slices.Equal(asked, []string{"old 0", "new 5"}) {
+			t.Errorf("told %v, asked %v", told, asked)
+		}
+	})
+}
+
 // A dial outlives the ask that it was made for, so that it needs a bound of its own: where connections never come up, asks
 // anew must not take one descriptor after another.
 func TestDialsThatNeverComeUpEnd(t *testing.T) {
--- /dev/null
+++ b/internal/node/largest_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"harrierramp/internal/journal"
+	"harrierramp/internal/testkit"
+)
+
+// A process that finds the largest journal that its disk allows, of small messages or of large ones, is ready in a small part
+// of the 10 s that the platform gives it, and all that it found untried goes out.
+func TestTheLargestJournalIsReadInTime(t *testing.T) {
+	t.Parallel()
+	for name, size := range map[string]int{"small": 1, "large": 60 << 10} {
+		state := t.TempDir()
+		j := openJournalAt(t, state)
+		found := 0
+		for ; ; found++ {
+			_, err := j.Accept(&journal.Message{
+				ID: fmt.Sprint("m", found), Class: 0, Tenant: -1, Dest: 7, Body: make([]byte, size), Deadline: time.Now().Add(time.Minute),
+			})
+			if err != nil {
+				break // there is no more room
+			}
+			flushJournal(t, j)
+		}
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+		p, r := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), newRegistry(t)
+		began := time.Now()
+		startChild(t, r, state, serving("e", p.Addr(), 7, "SERVING")) // answers PING with PONG
+		took := time.Since(began)
+		t.Logf("%s: %d messages found, ready after %v", name, found, took)
+		if took > 10*time.Second || found < 20 {
+			t.Errorf("%s: ready after %v, %d messages found", name, took, found)
+		}
+		seen := map[string]bool{}
+		testkit.Eventually(t, "all that was found untried is tried", func() bool {
+			select {
+			case req := <-p.Came:
+				seen[req.Header.Get("X-Trace-Id")] = true
+			default:
+			}
+			return len(seen) == found
+		})
+	}
+}
