Play stories with each figure of the settings missing, tiny or endless

Every rule holds and each message has its end, whatever one figure is within its bounds, and where classes, kinds or all figures are missing.

--- a/choice/checker_test.go
+++ b/choice/checker_test.go
@@ -345,6 +345,11 @@
 
 // carriedStory does, and carries the sender over now and then.
 func carriedStory(t testing.TB, seed uint64, steps, every int) *story {
+	return changedStory(t, seed, steps, every, func(*Settings) {})
+}
+
+// changedStory does so with settings that change has changed.
+func changedStory(t testing.TB, seed uint64, steps, every int, change func(*Settings)) *story {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	cfg := settings()
 	pick := func(p float64) bool { return rng.Float64() < p }
@@ -359,6 +364,7 @@
 	if pick(0.3) {
 		cfg.Tenants = []Tenant{{PerSecond: 3}, {PerSecond: 1}}
 	}
+	change(&cfg)
 	w := newStory(t, cfg, seed)
 	w.every = every
 	var all []Entry
--- /dev/null
+++ b/choice/settings_test.go
@@ -0,0 +1,59 @@
+package choice
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// Whatever a figure of the settings is within its bounds, be it missing, shorter than a call or endless, every rule holds
+// and each message has its end.
+func TestOddSettings(t *testing.T) {
+	odd := func(name string, set func(*Settings) reflect.Value) {
+		values := []any{time.Duration(0), time.Millisecond, 60 * time.Millisecond, 15 * time.Second, 0, 1, 1 << 20, 0.0, 1.0, 100.0}
+		for _, v := range values {
+			cfg := settings()
+			if f := set(&cfg); f.Type() != reflect.TypeOf(v) {
+				continue
+			}
+			t.Run(fmt.Sprint(name, "=", v), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(2) {
+					changedStory(t, seed, 150, int(seed%2)*5, func(s *Settings) {
+						for i := range s.Classes {
+							s.Classes[i].Aim, s.Classes[i].Deadline = 500*ms, 1500*ms // so that a story is short
+						}
+						set(s).Set(reflect.ValueOf(v))
+					})
+				}
+			})
+		}
+	}
+	for i := range reflect.TypeFor[Settings]().NumField() {
+		f := reflect.TypeFor[Settings]().Field(i)
+		if f.Name == "AnswerGrace" || f.Name == "Tick" || f.Name == "Number" { // what the story itself goes by
+			continue
+		}
+		odd(f.Name, func(s *Settings) reflect.Value { return reflect.ValueOf(s).Elem().Field(i) })
+	}
+	for i := range reflect.TypeFor[Class]().NumField() {
+		f := reflect.TypeFor[Class]().Field(i)
+		for class := range settings().Classes {
+			odd(fmt.Sprint(f.Name, class), func(s *Settings) reflect.Value { return reflect.ValueOf(&s.Classes[class]).Elem().Field(i) })
+		}
+	}
+	for name, change := range map[string]func(*Settings){
+		"no classes": func(s *Settings) { s.Classes = nil },
+		"no kinds":   func(s *Settings) { s.Kinds = nil },
+		"no figures": func(s *Settings) { *s = Settings{Classes: s.Classes, AnswerGrace: s.AnswerGrace, Tick: s.Tick} },
+		"nothing":    func(s *Settings) { *s = Settings{AnswerGrace: s.AnswerGrace, Tick: s.Tick} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(2) {
+				changedStory(t, seed, 150, 0, change)
+			}
+		})
+	}
+}
