--- /dev/null
+++ b/internal/node/settings_test.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"harrierramp/internal/testkit"
+)
+
+// variants are the settings with one value changed at a time: taken out, 0, negative, huge or of another type.
+func variants(t *testing.T) map[string]string {
+	t.Helper()
+	out := map[string]string{}
+	var root map[string]any
+	if err := json.Unmarshal([]byte(testSettings), &root); err != nil {
+		t.Fatal(err)
+	}
+	note := func(name string) {
+		raw, err := json.Marshal(root)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out[name] = string(raw)
+	}
+	var walk func(path string, m map[string]any)
+	walk = func(path string, m map[string]any) {
+		for k, v := range m {
+			at := path + "." + k
+			delete(m, k)
+			note(at + " missing")
+			for _, odd := range []any{0, -1, 1e18, "x", nil, []any{}} {
+				m[k] = odd
+				note(fmt.Sprint(at, " is ", odd))
+			}
+			m[k] = v
+			switch v := v.(type) {
+			case map[string]any:
+				walk(at, v)
+			case []any:
+				for i, e := range v {
+					if e, ok := e.(map[string]any); ok {
+						walk(fmt.Sprint(at, "[", i, "]"), e)
+					}
+				}
+			}
+		}
+	}
+	walk("settings", root)
+	return out
+}
+
+// Settings that can't be served are told in one line at the start; any others are served.
+func TestSettingsAreServedOrRefusedInOneLine(t *testing.T) {
+	t.Parallel()
+	r := newRegistry(t)
+	served, refused := 0, 0
+	var stops []func()
+	for name, settings := range variants(t) {
+		path, state := filepath.Join(t.TempDir(), "config.json"), t.TempDir()
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+			"limits":{"cores":1,"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,"settings":%s}`,
+			ln.Addr(), r.addr(), listOf(1, true, held()), settings)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := loadConfig(path, state)
+		if err != nil {
+			ln.Close()
+			if refused++; strings.Contains(strings.TrimSpace(err.Error()), "\n") {
+				t.Errorf("%s: %v", name, err)
+			}
+			continue
+		}
+		served++
+		n := New(cfg, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.Run(ctx, ln) }()
+		stops = append(stops, func() {
+			if err := <-done; err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		})
+		for _, q := range []string{testkit.Resp("PING"), testkit.Enqueue("a", ofStatus, ""), testkit.Enqueue("b", ofOrder, ""), testkit.Enqueue("c", ofPayout, "")} {
+			if got := testkit.Ask(t, ln.Addr().String(), q); !strings.HasPrefix(got, "+") && !strings.HasPrefix(got, "-") {
+				t.Errorf("%s: got %q", name, got)
+			}
+		}
+		cancel()
+	}
+	for _, stop := range stops {
+		stop()
+	}
+	t.Logf("%d served, %d refused in one line", served, refused)
+	if served < 20 || refused < 20 {
+		t.Errorf("%d served, %d refused: the test tells little", served, refused)
+	}
+}
