--- a/internal/ingress/close_test.go
+++ b/internal/ingress/close_test.go
@@ -96,7 +96,7 @@
 func TestLastLookSeesWhatLiesInTheSocket(t *testing.T) {
 	near, far := testkit.Pair(t)
 	nc := slowClock{near}
-	in := &tape{src: nc}
+	in := &replayReader{src: nc}
 	callBack(nc)
 	if _, err := in.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) || lastLook(nc, in, err) {
 		t.Fatalf("%v, and a request where none has come", err)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -31,7 +31,7 @@
 	maxLine    = 512     // a length line, or an inline command
 	maxSkipped = 1 << 20 // of a body that is too large, so that the connection stays of use
 	maxLife    = 24 * time.Hour
-	maxTape    = maxBody + maxArgs*maxWord + 8<<10 // more than the largest request that is taken, and what is read ahead
+	maxReplay  = maxBody + maxArgs*maxWord + 8<<10 // more than the largest request that is taken, and what is read ahead
 	movedLine  = "moved"                           // in place of an answer, never written
 
 	// A peer may fall silent for good, and each place it holds is lost to the others. Clients write a request
@@ -370,7 +370,7 @@
 
 // moved passes one connection on, and tells whether that is done. If it can't be, the process at the other end is
 // gone, and none is moved any more.
-func (c *Server) moved(nc net.Conn, t *tape, since, came time.Time) bool {
+func (c *Server) moved(nc net.Conn, t *replayReader, since, came time.Time) bool {
 	c.mu.Lock()
 	to := c.moveTo
 	c.mu.Unlock()
@@ -432,7 +432,7 @@
 
 // lastLook tells whether a request has come after all when the wait for one has been ended: a connection is not
 // closed over a request that lies in its socket.
-func lastLook(nc net.Conn, t *tape, err error) bool {
+func lastLook(nc net.Conn, t *replayReader, err error) bool {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
@@ -520,7 +520,7 @@
 
 // converse answers requests until the connection is to end, or is passed on to another process.
 func (c *Server) converse(nc net.Conn, m Moved) (passed bool) {
-	t := &tape{src: nc, again: m.Raw}
+	t := &replayReader{src: nc, again: m.Raw}
 	r := bufio.NewReaderSize(t, 4096)
 	since, came, asked := time.Unix(0, m.Since), time.Time{}, m.Came > 0
 	if len(m.Raw) > 0 {
@@ -595,38 +595,38 @@
 	return c.moveTo != nil
 }
 
-// tape reads a connection and keeps what it has read since the last answer, so that another process can read that
+// replayReader reads a connection and keeps what it has read since the last answer, so that another process can read that
 // again.
-type tape struct {
+type replayReader struct {
 	src   io.Reader
 	again []byte // read before anything of src
 	kept  []byte
 }
 
-func (t *tape) Read(p []byte) (n int, err error) {
+func (t *replayReader) Read(p []byte) (n int, err error) {
 	if len(t.again) > 0 {
 		n = copy(p, t.again)
 		t.again = t.again[n:]
 	} else {
 		n, err = t.src.Read(p)
 	}
-	if len(t.kept) <= maxTape { // past that it is a request that gets its answer here
+	if len(t.kept) <= maxReplay { // past that it is a request that gets its answer here
 		t.kept = append(t.kept, p[:n]...)
 	}
 	return n, err
 }
 
 // restart begins anew with what the reader has read ahead.
-func (t *tape) restart(r *bufio.Reader) {
+func (t *replayReader) restart(r *bufio.Reader) {
 	ahead, _ := r.Peek(r.Buffered()) // no more than there is, and so no error
 	t.kept = append(t.kept[:0], ahead...)
-	if cap(t.kept) > maxTape/16 && len(ahead) == 0 {
+	if cap(t.kept) > maxReplay/16 && len(ahead) == 0 {
 		t.kept = nil // an idle connection keeps no large buffer
 	}
 }
 
 // unanswered is all that has been read, and is to be read again, of requests without an answer.
-func (t *tape) unanswered() []byte { return slices.Concat(t.kept, t.again) }
+func (t *replayReader) unanswered() []byte { return slices.Concat(t.kept, t.again) }
 
 // command answers one command.
 func (c *Server) command(args [][]byte, came time.Time) string {
