Repeat nothing of a class that is not known

Cause: a restart with other settings may find a message of a class that is no longer there; take (choice/state.go) gave it a bare Class, whose effect reads as safe, so that a call that may have run was made again. It is held as one that must not run twice now. Test: two rows of TestResumed, one of which sends again before.

--- a/choice/resume_test.go
+++ b/choice/resume_test.go
@@ -34,6 +34,8 @@
 		{"unsafe, held", unsafe, 5 * time.Second, Resumed{}, "send"},
 		{"unsafe, never ran", unsafe, 5 * time.Second, Resumed{Attempts: 1}, "send"},
 		{"unsafe, may have run", unsafe, 5 * time.Second, Resumed{Attempts: 1, Touched: true, MayRun: now - time.Second}, "fail"},
+		{"of a class that is not known, held", 99, 5 * time.Second, Resumed{}, "send"},
+		{"of a class that is not known, may have run", 99, 5 * time.Second, Resumed{Attempts: 1, Touched: true, MayRun: now - time.Second}, "fail"},
 		{"out of time", safe, -time.Second, Resumed{}, "push back"},
 		{"unsafe, out of time, may have run", unsafe, -time.Second, Resumed{Attempts: 1, Touched: true, MayRun: now - time.Second}, "fail"},
 		{"out of attempts", safe, 5 * time.Second, Resumed{Attempts: cfg.MaxAttempts}, "push back"},
--- a/choice/state.go
+++ b/choice/state.go
@@ -494,7 +494,7 @@
 func (s *Sender) take(e Arrived) (*message, *destination) {
 	d := s.destination(e.Dest)
 	d.came, d.cameAt = d.rate(s.now)*seconds(demandSpan)+1, s.now
-	class := &Class{}
+	class := &Class{Effect: Unsafe} // of a class that is not known, as after a restart with other settings, nothing is repeated
 	if e.Class >= 0 && e.Class < len(s.cfg.Classes) {
 		class = &s.cfg.Classes[e.Class]
 	}
