Let a connection that waits for a place at the end not hold up the others' end

Server.Close waits for the accept loop, which waited for the half-close of such a connection, 200 ms more before the others were ended: 3.6 s after SIGTERM at worst, and SIGKILL comes after 3.7 s.

--- a/internal/ingress/close_test.go
+++ b/internal/ingress/close_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -132,3 +133,38 @@
 		t.Errorf("40 newcomers wait for %v, and a client gives up after 400 ms", took)
 	}
 }
+
+// A connection that waits for a place when the node leaves is ended like the others, and does not keep the node from it:
+// all have their time at once.
+func TestAConnectionThatWaitsForAPlaceAtTheEnd(t *testing.T) {
+	inside, goOn := make(chan struct{}), make(chan struct{})
+	c, addr := serveTest(t, 1, func(Request) Answer {
+		close(inside)
+		<-goOn
+		return Answer{}
+	})
+	busy, busyReader := testkit.DialTest(t, addr)
+	if _, err := io.WriteString(busy, testkit.Enqueue("a", "c=notice,d=8000,dest=7", "b")); err != nil {
+		t.Fatal(err)
+	}
+	<-inside
+	waits, waitsReader := testkit.DialTest(t, addr)
+	if _, err := io.WriteString(waits, testkit.Resp("PING")); err != nil {
+		t.Fatal(err)
+	}
+	closed := make(chan struct{})
+	go func() {
+		c.Close()
+		close(closed)
+	}()
+	if _, err := waitsReader.ReadByte(); err != io.EOF { // a node that had not accepted it resets it: ECONNRESET
+		if !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("the one that waits: %v", err)
+		}
+	}
+	close(goOn)
+	if line, err := busyReader.ReadString('\n'); line != "+OK\r\n" {
+		t.Errorf("got %q, %v", line, err)
+	}
+	<-closed
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -292,7 +292,7 @@
 		select {
 		case c.room <- struct{}{}:
 		case <-c.stop:
-			c.hangUp(nc)
+			c.wg.Go(func() { c.hangUp(nc) }) // Close waits for it, but not before it has begun to end the others
 			return false
 		}
 	}
