Blame no endpoint for a dial that had only what the wait for a place has left of its time

Since place and dial share a dial's time, a node short of descriptors would dial with a few milliseconds left and take the failure for the endpoint's. Such a call is Stale, not sent, now.

--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -150,7 +150,7 @@
 	return ctx.Err() != nil || c.Endpoint.closedTo(now) || (!c.BeginBy.IsZero() && now.After(c.BeginBy))
 }
 
-// errNoPlace says that no descriptor was to be had for a new connection.
+// errNoPlace says that no descriptor was to be had for a new connection, or too late for it to come up.
 var errNoPlace = errors.New("no place for a connection")
 
 // open makes a new connection. What it takes, the wait for a place included, stays within the time of a dial: rules hang
@@ -159,10 +159,16 @@
 	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
 	defer context.AfterFunc(p.sealed, cancel)()
+	began := time.Now()
 	if !p.place(ctx) {
 		return nil, errNoPlace
 	}
-	return p.dial(ctx, addr)
+	waited := time.Since(began)
+	k, err := p.dial(ctx, addr)
+	if err != nil && ctx.Err() != nil && waited > p.dialTimeout/10 {
+		return nil, errNoPlace // what was left of the time says nothing of the endpoint
+	}
+	return k, err
 }
 
 func encodeRequest(c Call) ([]byte, error) {
