--- a/choice/alone_test.go
+++ b/choice/alone_test.go
@@ -52,7 +52,7 @@
 							due[i][s.ID] = Pass
 							passed++
 						} else {
-							due[i][s.ID] = NoRoom
+							due[i][s.ID] = Rejected
 						}
 						taken++ // refused ones use it up as well
 					}
--- a/choice/checker_test.go
+++ b/choice/checker_test.go
@@ -120,14 +120,14 @@
 			if e.Closed {
 				m.ended = true
 			}
-			ran := e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == Cut || e.Outcome == Undone
+			ran := e.Outcome == Fault || e.Outcome == TimedOut || e.Outcome == ConnReset || e.Outcome == Cancelled
 			if ran && (!m.touched || f.sent < m.first) {
 				m.touched, m.first, m.zone = true, f.sent, w.eps[e.Endpoint].Zone
 			}
 			if ran && e.Outcome != Fault && m.class.Ordered {
 				w.rests[m.Key] = max(w.rests[m.Key], w.now+w.cfg.OrderSettle)
 			}
-			if e.Outcome == NoRoom && e.Wait > 0 {
+			if e.Outcome == Rejected && e.Wait > 0 {
 				r, until := w.route(e.Endpoint), w.now+e.Wait
 				waits = append(waits, func() { w.waits[r] = max(w.waits[r], until) })
 			}
@@ -295,7 +295,7 @@
 		for _, a := range w.flights() {
 			f := w.out[a]
 			if w.now+10*ms >= f.NotPast {
-				events = append(events, Ended{ID: a.id, Attempt: a.n, Endpoint: f.Endpoint, Outcome: TooSlow, Took: w.now - f.sent})
+				events = append(events, Ended{ID: a.id, Attempt: a.n, Endpoint: f.Endpoint, Outcome: TimedOut, Took: w.now - f.sent})
 			}
 		}
 		w.step(10*ms, append(events, Rang{Tag: "sweep"})...)
@@ -385,10 +385,10 @@
 			e := Ended{ID: a.id, Attempt: a.n, Endpoint: f.Endpoint, Took: age}
 			switch {
 			case late:
-				e.Outcome = TooSlow
+				e.Outcome = TimedOut
 			case pick(mood[f.Endpoint]):
 				e.Outcome = Outcome(1 + rng.IntN(7))
-				if e.Outcome == NoRoom && pick(0.6) {
+				if e.Outcome == Rejected && pick(0.6) {
 					e.Wait = time.Duration(rng.IntN(3000)) * ms
 				}
 			}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -287,7 +287,7 @@
 		s.tellKeeper(c.ep, e.Outcome, e.Wait)
 	}
 	m.out--
-	ran := e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == Cut || e.Outcome == Undone
+	ran := e.Outcome == Fault || e.Outcome == TimedOut || e.Outcome == ConnReset || e.Outcome == Cancelled
 	if ran && m.class.Effect != Safe && (!m.touched || c.sentAt < m.mayRun) {
 		m.touched, m.mayRun, m.zone = true, c.sentAt, c.ep.zone
 	}
@@ -308,7 +308,7 @@
 	case s.now >= m.dropDead-endMargin, ran && m.class.Effect == Unsafe, s.spent(m):
 		s.giveUp(m)
 	default:
-		if !stray && (ran || e.Outcome == NoRoute) {
+		if !stray && (ran || e.Outcome == ConnectFailed) {
 			m.notBefore = s.now + retryRest<<min(m.attempts, 16)
 		}
 		s.enqueue(m)
@@ -319,7 +319,7 @@
 // a call that crosses the close is reset before it could be answered: no sign of an outage or of slowness.
 // If the endpoint is down, the next call, over a new connection, tells.
 func (s *Sender) stray(c *call, e Ended) bool {
-	return e.Outcome == Cut && e.Reused && seconds(e.Took) < c.ep.usual/2
+	return e.Outcome == ConnReset && e.Reused && seconds(e.Took) < c.ep.usual/2
 }
 
 // sample is the one place that turns outcomes into gate samples. Whatever did not deliver is charged as slow,
@@ -332,9 +332,9 @@
 	sec := seconds(s.now - max(m.arrived, min(c.ep.route.coldFrom, c.sentAt)))
 	switch o {
 	case Pass:
-	case Stale, Undone:
+	case NotSent, Cancelled:
 		return
-	case NoRoom:
+	case Rejected:
 		if !m.dest.troubled() {
 			return
 		}
@@ -362,8 +362,8 @@
 			s.crowded[ep.dest.kind] = s.now + crowdedSpan // no connection, then a pass: a full table
 		}
 		s.passed(r)
-	case Stale:
-	case NoRoom:
+	case NotSent:
+	case Rejected:
 		// Refusals in a row rest longer each time, over a limit or shut. They are no outage by themselves:
 		// a large fleet meets three in a row at any busy limit.
 		if s.now-r.waitUntil > r.rest {
@@ -390,12 +390,12 @@
 	default:
 		ep.response = ease(ep.response, max(2*ep.response, took, seconds(slowLeast)))
 		ep.dest.claim.failedAt = s.now
-		if e.Outcome == NoRoute && s.shun(ep) {
+		if e.Outcome == ConnectFailed && s.shun(ep) {
 			return
 		}
-		s.failure(ep.dest, r, false, e.Outcome == NoRoute)
+		s.failure(ep.dest, r, false, e.Outcome == ConnectFailed)
 	}
-	if c.left == 0 && e.Outcome != NoRoute && e.Outcome != Stale {
+	if c.left == 0 && e.Outcome != ConnectFailed && e.Outcome != NotSent {
 		s.giveBack(ep)
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -125,7 +125,7 @@
 	w := newStory(t, settings(), 1)
 	w.step(0, w.arrive("nowhere", 0, 9)) // no such destination, no list at all
 	w.step(5*ms, one(), w.arrive("gone", 1, 0))
-	w.step(5*ms, list(), w.outcome("gone", NoRoute, 0)) // its endpoint left
+	w.step(5*ms, list(), w.outcome("gone", ConnectFailed, 0)) // its endpoint left
 	w.step(5*ms, one(), w.arrive("slow", 2, 0))
 	w.finish()
 	if !slices.ContainsFunc(w.backs, func(b PushBack) bool { return b.ID == "nowhere" }) {
@@ -137,7 +137,7 @@
 	t.Run("unsafe fails after an unsure end", func(t *testing.T) {
 		w := newStory(t, settings(), 1)
 		w.step(0, one(), w.arrive("u", 2, 0))
-		w.step(5*ms, w.outcome("u", Cut, 0))
+		w.step(5*ms, w.outcome("u", ConnReset, 0))
 		if len(w.fails) != 1 {
 			t.Fatal(w.log)
 		}
@@ -145,7 +145,7 @@
 	t.Run("unsafe goes again when nothing ran", func(t *testing.T) {
 		w := newStory(t, settings(), 1)
 		w.step(0, one(), w.arrive("u", 2, 0))
-		w.step(5*ms, w.outcome("u", NoRoom, 0))
+		w.step(5*ms, w.outcome("u", Rejected, 0))
 		w.quiet(time.Second)
 		if len(w.sends) != 2 {
 			t.Fatal(w.log)
@@ -155,7 +155,7 @@
 	t.Run("keyed is refused before its window ends", func(t *testing.T) {
 		w := newStory(t, settings(), 1)
 		w.step(0, one(), w.arrive("k", 1, 0))
-		w.step(5*ms, w.outcome("k", TooSlow, 0), list())
+		w.step(5*ms, w.outcome("k", TimedOut, 0), list())
 		w.quiet(5 * time.Second)
 		if len(w.backs) != 1 {
 			t.Fatal(w.log)
@@ -197,7 +197,7 @@
 	w := newStory(t, settings(), 1)
 	w.step(0, one(), w.arrive("old", 0, 0))
 	d := w.s.dests[0]
-	w.step(7*time.Second, w.outcome("old", NoRoom, 0))
+	w.step(7*time.Second, w.outcome("old", Rejected, 0))
 	d.gate = gate{seen: true, average: 1, baseline: 0.5, at: w.now}
 	d.endpoints[0].route.coldFrom = w.now
 	w.quiet(2 * time.Second)
@@ -243,7 +243,7 @@
 			for _, a := range w.flights() {
 				f := w.out[a]
 				if age := w.now - f.sent; age >= 50*ms {
-					e := Ended{ID: a.id, Attempt: a.n, Endpoint: f.Endpoint, Took: age, Outcome: NoRoute}
+					e := Ended{ID: a.id, Attempt: a.n, Endpoint: f.Endpoint, Took: age, Outcome: ConnectFailed}
 					if f.sent >= back {
 						e.Outcome, e.Closed = Pass, true
 						served++
@@ -307,7 +307,7 @@
 	if len(w.sends) != 1 {
 		t.Fatal("overtaken while an attempt was out")
 	}
-	w.step(5*ms, w.outcome("1", TooSlow, 0))
+	w.step(5*ms, w.outcome("1", TimedOut, 0))
 	w.quiet(cfg.OrderSettle + 500*ms)
 	if len(w.sends) != 2 {
 		t.Fatalf("the turn was never passed on: %v", w.log)
@@ -322,7 +322,7 @@
 		w := newStory(t, cfg, 1)
 		w.step(0, list(Entry{Endpoint: "a", Weight: 10}))
 		w.step(5*ms, w.arrive("1", 0, 0))
-		w.step(5*ms, w.outcome("1", NoRoom, time.Second), Listed{Entries: []Entry{{Endpoint: "b", Weight: 10}}})
+		w.step(5*ms, w.outcome("1", Rejected, time.Second), Listed{Entries: []Entry{{Endpoint: "b", Weight: 10}}})
 		w.step(5*ms, w.arrive("2", 1, 0), w.arrive("3", 2, 0))
 		if others := len(w.sends) > 1; others != apart {
 			t.Errorf("apart %v: sends %v", apart, w.sends)
@@ -354,7 +354,7 @@
 				e.Outcome, e.Closed = Pass, true
 				served++
 			case w.now >= f.NotPast:
-				e.Outcome = TooSlow
+				e.Outcome = TimedOut
 			default:
 				continue
 			}
@@ -366,7 +366,7 @@
 		w.step(10*ms, append(events, Rang{})...)
 		for _, a := range w.s.actions { // what is called off ends in the next step
 			if c, ok := a.(Cancel); ok {
-				w.step(ms, w.outcome(c.ID, Undone, 0))
+				w.step(ms, w.outcome(c.ID, Cancelled, 0))
 			}
 		}
 	}
@@ -401,7 +401,7 @@
 func TestCrowdedEndpointIsNoOutage(t *testing.T) {
 	w := newStory(t, settings(), 1)
 	w.step(0, one(), w.arrive("1", 0, 0))
-	w.step(time.Second, w.outcome("1", NoRoute, 0))
+	w.step(time.Second, w.outcome("1", ConnectFailed, 0))
 	if w.s.dests[0].endpoints[0].route.sick {
 		t.Fatal("one failed connect made an outage")
 	}
@@ -579,7 +579,7 @@
 		response := w.s.eps["a"].response
 		for range sickCount {
 			w.quiet(2 * time.Second / sickCount)
-			lost := w.outcome("m", Cut, 0)
+			lost := w.outcome("m", ConnReset, 0)
 			lost.Took, lost.Reused = c.after, !c.fresh
 			w.step(5*ms, lost)
 			if !c.sick && len(w.flights()) != 1 {
@@ -611,7 +611,7 @@
 			w.step(50*ms, w.outcome(id, Pass, 0))
 		}
 	}
-	w.step(50*ms, w.outcome("m3", NoRoom, 0))
+	w.step(50*ms, w.outcome("m3", Rejected, 0))
 	if rate, _ := w.s.pace(w.s.eps["a"].route); rate > 1 || rate < 0.2 {
 		t.Errorf("%v calls a second after a refusal; four messages came in four seconds", rate)
 	}
@@ -626,7 +626,7 @@
 		id := fmt.Sprint("m", i)
 		w.quiet(time.Second)
 		w.step(5*ms, w.arrive(id, 0, 0))
-		e := w.outcome(id, NoRoom, 0)
+		e := w.outcome(id, Rejected, 0)
 		e.Report = Report{HasLimit: true}
 		w.step(50*ms, e, Dropped{ID: id})
 	}
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -205,8 +205,8 @@
 
 // tellKeeper reports a call's end to whoever keeps the destination's limit.
 func (s *Sender) tellKeeper(ep *endpoint, o Outcome, wait time.Duration) {
-	if o == NoRoute && s.othersOpen(ep) {
-		o = Stale // of that endpoint alone
+	if o == ConnectFailed && s.othersOpen(ep) {
+		o = NotSent // of that endpoint alone
 	}
 	if s.governed(ep.dest) && !s.blind { // what it knows may be long past
 		s.note(s.keeper(ep.dest, ep.dest.claim.rank), note{
@@ -376,24 +376,24 @@
 func (s *Sender) fleetHeard(e *endpoint, from int, o Outcome, wait time.Duration) {
 	f := s.fleet(e)
 	f.trial = false
-	if w := e.dest.wants.of[from]; w != nil && (o == NoRoute || o == Pass) {
-		if w.lostUntil = 0; o == NoRoute {
+	if w := e.dest.wants.of[from]; w != nil && (o == ConnectFailed || o == Pass) {
+		if w.lostUntil = 0; o == ConnectFailed {
 			w.lostUntil = s.now + lostRest
 		}
 		e.dest.wants.moved(w, s.now)
 	}
-	if o == NoRoute && s.now-f.deliveredAt < lostSign && f.deliveredAt > 0 {
+	if o == ConnectFailed && s.now-f.deliveredAt < lostSign && f.deliveredAt > 0 {
 		return // others get through: who does not has an old list
 	}
 	switch shut := wait > shutWait; {
-	case o == Stale: // it was not made, or not taken: the destination has room for another
+	case o == NotSent: // it was not made, or not taken: the destination has room for another
 		f.tokens++
-	case o == Undone:
+	case o == Cancelled:
 	case o == Pass:
 		s.passed(f)
 		f.full *= 1 - fullWeight
 		f.deliveredAt = s.now
-	case o == NoRoom && !shut && !f.sick:
+	case o == Rejected && !shut && !f.sick:
 		f.full += fullWeight * (1 - f.full)
 		if f.full > fullCut && s.now-f.cutAt >= fleetCutEvery {
 			f.cutAt, f.partAt = s.now, s.now
@@ -405,6 +405,6 @@
 			f.rest = min(max(2*f.rest, refusedRest), fleetRestMost)
 		}
 	default:
-		s.failure(e.dest, f, shut, o == NoRoom || o == NoRoute)
+		s.failure(e.dest, f, shut, o == Rejected || o == ConnectFailed)
 	}
 }
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -104,7 +104,7 @@
 			w.attempts[a.ID]++
 			o, took := w.call(a.Endpoint)
 			if left := a.NotPast - w.now; took > left {
-				o, took = TooSlow, left
+				o, took = TimedOut, left
 			}
 			w.after(took, func() {
 				if w.senders[i] != s {
@@ -155,7 +155,7 @@
 func (w *fleetWorld) call(endpoint string) (Outcome, time.Duration) {
 	if w.down || endpoint == "gone" {
 		w.failed++
-		return NoRoute, 30 * ms
+		return ConnectFailed, 30 * ms
 	}
 	if w.spans && w.now/time.Second != w.filled/time.Second {
 		w.level = w.limit
@@ -166,7 +166,7 @@
 	w.level--
 	if w.level < 0 || w.rng.Float64() < w.odd {
 		w.full++
-		return NoRoom, 60 * ms
+		return Rejected, 60 * ms
 	}
 	w.passed++
 	return Pass, 100*ms + time.Duration(w.rng.IntN(int(200*ms)))
@@ -409,7 +409,7 @@
 	for _, n := range []note{
 		{kind: noteAsk, dest: 300, route: 9, seq: 65535, seen: 7, count: 3, urgency: 255},
 		{kind: noteGrant, dest: 1, route: 500, seq: 3, count: 1},
-		{kind: noteEnd, dest: 2, route: 4, outcome: NoRoom, wait: 785 * ms},
+		{kind: noteEnd, dest: 2, route: 4, outcome: Rejected, wait: 785 * ms},
 	} {
 		b := n.encode()
 		if got, ok := decodeNote(b); !ok || got != n {
@@ -470,7 +470,7 @@
 	w.step(0, list(Entry{Endpoint: "a", Weight: 1000}, Entry{Endpoint: "gone", Weight: 1000}))
 	refuse := func(id string) {
 		for range 6 {
-			w.s.judge(&call{ep: w.s.eps[id]}, Ended{Outcome: NoRoute, Took: 30 * ms})
+			w.s.judge(&call{ep: w.s.eps[id]}, Ended{Outcome: ConnectFailed, Took: 30 * ms})
 		}
 	}
 	if refuse("gone"); w.s.eps["a"].route.recovering() {
--- a/choice/note.go
+++ b/choice/note.go
@@ -69,7 +69,7 @@
 	case n.kind == noteCold && len(b) == 8:
 		n.count = int(b[5])
 		n.wait = time.Duration(binary.BigEndian.Uint16(b[6:])) * time.Millisecond
-	case n.kind == noteEnd && len(b) == 8 && Outcome(b[5]) <= Stale:
+	case n.kind == noteEnd && len(b) == 8 && Outcome(b[5]) <= NotSent:
 		n.outcome = Outcome(b[5])
 		n.wait = time.Duration(binary.BigEndian.Uint16(b[6:])) * time.Millisecond
 	default:
@@ -196,7 +196,7 @@
 func (s *Sender) giveBackGrants(d *destination) {
 	d.claim.grants = slices.DeleteFunc(d.claim.grants, func(g grant) bool {
 		if s.now >= g.until {
-			s.note(s.keeper(d, d.claim.rank), note{kind: noteEnd, dest: d.id, route: g.route, outcome: Stale})
+			s.note(s.keeper(d, d.claim.rank), note{kind: noteEnd, dest: d.id, route: g.route, outcome: NotSent})
 		}
 		return s.now >= g.until
 	})
--- a/choice/types.go
+++ b/choice/types.go
@@ -73,16 +73,16 @@
 // Outcome is how an attempt or a probe ended.
 type Outcome uint8
 
-// The outcomes. NoRoom, NoRoute and Stale prove that nothing ran.
+// The outcomes. Rejected, ConnectFailed and NotSent prove that nothing ran.
 const (
 	Pass Outcome = iota
 	Fault
-	NoRoom
-	TooSlow
-	NoRoute
-	Cut
-	Undone
-	Stale
+	Rejected
+	TimedOut
+	ConnectFailed
+	ConnReset
+	Cancelled
+	NotSent
 )
 
 // Report is what an endpoint says of its limit. A missing value has its flag off.
@@ -147,8 +147,8 @@
 	Outcome  Outcome
 	Took     time.Duration
 	Closed   bool          // the message is over
-	Wait     time.Duration // NoRoom: the wait told
-	NoSlot   bool          // Stale: all slots were taken
+	Wait     time.Duration // Rejected: the wait told
+	NoSlot   bool          // NotSent: all slots were taken
 	Reused   bool          // the call went over a connection that had stood idle
 	Report   Report
 }
--- a/internal/egress/cross_test.go
+++ b/internal/egress/cross_test.go
@@ -93,12 +93,12 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n": choice.Pass,
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":      choice.Pass,
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n":                 choice.Pass,
-		"H":                               choice.Cut,
-		"HTTP/1.1 20":                     choice.Cut,
-		"HTTP/1.1 503 Busy\r\nContent-Le": choice.Cut,
-		"HTTP/1.1 503 Busy\r\nContent-Length: 10\r\n\r\nab":                choice.Cut,
-		"HTTP/1.1 429 Wait\r\nRetry-After: 1\r\nContent-Length: 5\r\n\r\n": choice.Cut,
-		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100):               choice.Cut,
+		"H":                               choice.ConnReset,
+		"HTTP/1.1 20":                     choice.ConnReset,
+		"HTTP/1.1 503 Busy\r\nContent-Le": choice.ConnReset,
+		"HTTP/1.1 503 Busy\r\nContent-Length: 10\r\n\r\nab":                choice.ConnReset,
+		"HTTP/1.1 429 Wait\r\nRetry-After: 1\r\nContent-Length: 5\r\n\r\n": choice.ConnReset,
+		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100):               choice.ConnReset,
 	} {
 		t.Run(strconv.Quote(text[:min(len(text), 50)]), func(t *testing.T) {
 			t.Parallel()
@@ -209,7 +209,7 @@
 				t.Fatalf("%d calls, %+v", calls, got)
 			}
 			if !c.sent {
-				if got.Outcome != choice.Stale {
+				if got.Outcome != choice.NotSent {
 					t.Errorf("%+v", got)
 				}
 				return
@@ -235,11 +235,11 @@
 	go func() { res <- pool.Do(t.Context(), call) }()
 	time.Sleep(dial * 3 / 4)
 	letGo()
-	if got, took := <-res, time.Since(began); got.Outcome != choice.Stale || took > dial*3/2 {
+	if got, took := <-res, time.Since(began); got.Outcome != choice.NotSent || took > dial*3/2 {
 		t.Errorf("%+v after %v", got, took)
 	}
 	call.NotPast = time.Now().Add(time.Minute)
-	if got := pool.Do(t.Context(), call); got.Outcome != choice.NoRoute { // with all of its time
+	if got := pool.Do(t.Context(), call); got.Outcome != choice.ConnectFailed { // with all of its time
 		t.Errorf("%+v", got)
 	}
 }
@@ -309,7 +309,7 @@
 			testkit.Eventually(t, "the dial is under way", func() bool { return testkit.Dialing(t, addr) == 1 })
 		}
 		end(cancel, pool, &call)
-		if got := <-res; got.Outcome != choice.NoRoute && got.Outcome != choice.Stale {
+		if got := <-res; got.Outcome != choice.ConnectFailed && got.Outcome != choice.NotSent {
 			t.Errorf("%s: %+v", name, got)
 		}
 		if n := len(pool.places); n != 0 {
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -111,27 +111,27 @@
 	ctx, cancel := context.WithDeadline(ctx, c.NotPast)
 	defer cancel()
 	if c.late(ctx) {
-		return Result{Outcome: choice.Stale}
+		return Result{Outcome: choice.NotSent}
 	}
 	k := p.take(c.Endpoint)
 	reused := k != nil
 	if !reused {
 		var err error
 		if k, err = p.open(ctx, c.Endpoint.Addr); errors.Is(err, errNoPlace) || (err != nil && p.sealed.Err() != nil) {
-			return Result{Outcome: choice.Stale}
+			return Result{Outcome: choice.NotSent}
 		} else if err != nil {
-			return Result{Outcome: choice.NoRoute}
+			return Result{Outcome: choice.ConnectFailed}
 		}
 	}
 	// A dial takes up to a second; what was told meanwhile, or the time that has passed, may forbid the first byte.
 	if c.late(ctx) || p.sealed.Err() != nil {
 		p.give(c.Endpoint, k)
-		return Result{Outcome: choice.Stale}
+		return Result{Outcome: choice.NotSent}
 	}
 	request, err := encodeRequest(c) // tells how long we wait from now on
 	if err != nil {
 		p.give(c.Endpoint, k)
-		return Result{Outcome: choice.Stale}
+		return Result{Outcome: choice.NotSent}
 	}
 	stop := context.AfterFunc(ctx, func() { k.Close() })
 	res, reuse := k.exchange(ctx, request, p.tries)
@@ -244,7 +244,7 @@
 func (k *conn) exchange(ctx context.Context, request []byte, tries *atomic.Int64) (res Result, reuse bool) {
 	writing := time.Now()
 	if n, err := k.Write(request); err != nil && n < len(request) {
-		return Result{Outcome: choice.NoRoute}, false // without its last byte the endpoint has not begun it
+		return Result{Outcome: choice.ConnectFailed}, false // without its last byte the endpoint has not begun it
 	}
 	wrote := time.Now()
 	tries.Add(1)
@@ -252,11 +252,11 @@
 	switch res.Heard = err == nil; {
 	case res.Heard:
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		res.Outcome = choice.TooSlow
+		res.Outcome = choice.TimedOut
 	case ctx.Err() != nil:
-		res.Outcome = choice.Undone
+		res.Outcome = choice.Cancelled
 	default:
-		res.Outcome = choice.Cut
+		res.Outcome = choice.ConnReset
 	}
 	res.Writing, res.Wrote = writing, wrote
 	return res, reuse
@@ -332,19 +332,19 @@
 	case http.StatusOK:
 		res.Outcome, res.Closed = choice.Pass, true
 	case http.StatusTooManyRequests:
-		res.Outcome = choice.NoRoom
+		res.Outcome = choice.Rejected
 		if sec, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && sec > 0 {
 			res.Wait = time.Duration(min(sec, longestWait.Seconds()) * float64(time.Second))
 		}
 	case http.StatusServiceUnavailable:
-		res.Outcome = choice.NoRoom
+		res.Outcome = choice.Rejected
 		if resp.Header.Get("X-Line-Busy") == "1" {
-			res.Outcome, res.NoSlot = choice.Stale, true
+			res.Outcome, res.NoSlot = choice.NotSent, true
 		}
 	case http.StatusGatewayTimeout:
-		res.Outcome = choice.Stale
+		res.Outcome = choice.NotSent
 	case http.StatusGone:
-		res.Outcome, res.Closed = choice.Stale, true
+		res.Outcome, res.Closed = choice.NotSent, true
 	default: // 500, and what the protocol does not know: it may have run
 		res.Outcome = choice.Fault
 	}
--- a/internal/egress/pool_test.go
+++ b/internal/egress/pool_test.go
@@ -38,18 +38,18 @@
 		{"after a 1xx", "HTTP/1.1 103 Early Hints\r\n\r\n" + testkit.Delivered, Result{Outcome: choice.Pass, Closed: true}},
 		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Fault}},
 		{"told to wait", "HTTP/1.1 429 No\r\nRetry-After: 0.35\r\nContent-Length: 0\r\n\r\n",
-			Result{Outcome: choice.NoRoom, Wait: 350 * time.Millisecond}},
-		{"turned away", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.NoRoom}},
-		{"no slot", "HTTP/1.1 503 No\r\nX-Line-Busy: 1\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Stale, NoSlot: true}},
-		{"all attempts used", "HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Stale}},
-		{"over", "HTTP/1.1 410 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Stale, Closed: true}},
+			Result{Outcome: choice.Rejected, Wait: 350 * time.Millisecond}},
+		{"turned away", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Rejected}},
+		{"no slot", "HTTP/1.1 503 No\r\nX-Line-Busy: 1\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.NotSent, NoSlot: true}},
+		{"all attempts used", "HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.NotSent}},
+		{"over", "HTTP/1.1 410 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.NotSent, Closed: true}},
 		{"unknown status", "HTTP/1.1 418 No\r\nContent-Length: 0\r\n\r\n", Result{Outcome: choice.Fault}},
-		{"no HTTP", "what?\r\n\r\n", Result{Outcome: choice.Cut}},
+		{"no HTTP", "what?\r\n\r\n", Result{Outcome: choice.ConnReset}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := testkit.NewPartner(t, testkit.Says(c.says))
 			got := testPool().Do(t.Context(), testCall(endpointAt(p.Addr())))
-			if got.Heard != (c.want.Outcome != choice.Cut) || got.Writing.IsZero() || got.Wrote.Before(got.Writing) {
+			if got.Heard != (c.want.Outcome != choice.ConnReset) || got.Writing.IsZero() || got.Wrote.Before(got.Writing) {
 				t.Errorf("heard %v, written from %v to %v", got.Heard, got.Writing, got.Wrote)
 			}
 			got.Heard, got.Writing, got.Wrote = false, c.want.Writing, c.want.Wrote
@@ -67,7 +67,7 @@
 			t.Fatal(err)
 		}
 		ln.Close()
-		if got := testPool().Do(t.Context(), testCall(endpointAt(ln.Addr().String()))); got.Outcome != choice.NoRoute {
+		if got := testPool().Do(t.Context(), testCall(endpointAt(ln.Addr().String()))); got.Outcome != choice.ConnectFailed {
 			t.Errorf("got %+v", got)
 		}
 	})
@@ -78,13 +78,13 @@
 			far.Close()
 		}()
 		k, tries := &conn{Conn: near}, new(atomic.Int64)
-		if got, reuse := k.exchange(t.Context(), []byte(strings.Repeat("x", 100)), tries); got.Outcome != choice.NoRoute || reuse || tries.Load() != 0 {
+		if got, reuse := k.exchange(t.Context(), []byte(strings.Repeat("x", 100)), tries); got.Outcome != choice.ConnectFailed || reuse || tries.Load() != 0 {
 			t.Errorf("got %+v, %v, %d tries", got, reuse, tries.Load())
 		}
 	})
 	t.Run("ended after the last byte", func(t *testing.T) {
 		p := testkit.NewPartner(t, func(net.Conn, *http.Request) bool { return false })
-		if got := testPool().Do(t.Context(), testCall(endpointAt(p.Addr()))); got.Outcome != choice.Cut {
+		if got := testPool().Do(t.Context(), testCall(endpointAt(p.Addr()))); got.Outcome != choice.ConnReset {
 			t.Errorf("got %+v", got)
 		}
 	})
@@ -97,7 +97,7 @@
 		})
 		c := testCall(endpointAt(p.Addr()))
 		c.NotPast = time.Now().Add(100 * time.Millisecond)
-		if got := testPool().Do(t.Context(), c); got.Outcome != choice.TooSlow || !<-closed {
+		if got := testPool().Do(t.Context(), c); got.Outcome != choice.TimedOut || !<-closed {
 			t.Errorf("got %+v", got)
 		}
 	})
@@ -108,7 +108,7 @@
 			<-p.Came
 			cancel()
 		}()
-		if got := testPool().Do(ctx, testCall(endpointAt(p.Addr()))); got.Outcome != choice.Undone {
+		if got := testPool().Do(ctx, testCall(endpointAt(p.Addr()))); got.Outcome != choice.Cancelled {
 			t.Errorf("got %+v", got)
 		}
 	})
@@ -116,7 +116,7 @@
 		p := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
 		c := testCall(endpointAt(p.Addr()))
 		c.NotPast = time.Now().Add(-time.Second)
-		if got := testPool().Do(t.Context(), c); got.Outcome != choice.Stale {
+		if got := testPool().Do(t.Context(), c); got.Outcome != choice.NotSent {
 			t.Errorf("got %+v", got)
 		}
 	})
@@ -148,7 +148,7 @@
 	if got := pool.Do(t.Context(), testCall(e)); got.Outcome != choice.Pass || got.Reused {
 		t.Fatalf("got %+v", got)
 	}
-	if got := pool.Do(t.Context(), testCall(e)); got.Outcome != choice.Cut || !got.Reused {
+	if got := pool.Do(t.Context(), testCall(e)); got.Outcome != choice.ConnReset || !got.Reused {
 		t.Errorf("got %+v", got)
 	}
 	if calls, conns := p.Counts(); calls != 2 || conns != 1 {
@@ -165,12 +165,12 @@
 		"HTTP/1.1 200 OK\r\nContent-Le": choice.Pass,
 		"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\nd21e":  choice.Pass,
 		"HTTP/1.1 200 OK\r\n\x00\xff\r\n\r\n":                choice.Pass,
-		"HTTP/1.1 20":                                        choice.Cut,
-		"HTTP/1.1 2000 OK\r\n":                               choice.Cut,
-		"HTTP/1.1 503 No\r\nContent-Le":                      choice.Cut,
-		"HTTP/1.1 503 No\r\nContent-Length: 16\r\n\r\nd21e":  choice.Cut,
-		"HTTP/1.1 429 No\r\nRetry-After: 1\r\nTransfer-Enco": choice.Cut,
-		"\x16\x03\x01 200 OK":                                choice.Cut,
+		"HTTP/1.1 20":                                        choice.ConnReset,
+		"HTTP/1.1 2000 OK\r\n":                               choice.ConnReset,
+		"HTTP/1.1 503 No\r\nContent-Le":                      choice.ConnReset,
+		"HTTP/1.1 503 No\r\nContent-Length: 16\r\n\r\nd21e":  choice.ConnReset,
+		"HTTP/1.1 429 No\r\nRetry-After: 1\r\nTransfer-Enco": choice.ConnReset,
+		"\x16\x03\x01 200 OK":                                choice.ConnReset,
 	} {
 		p := testkit.NewPartner(t, func(nc net.Conn, _ *http.Request) bool {
 			io.WriteString(nc, text)
@@ -249,7 +249,7 @@
 	drained.Shut.Store(true)
 	waiting.Wait.Store(time.Now().Add(time.Hour).UnixNano())
 	for _, e := range []*Endpoint{drained, waiting} {
-		if got := testPool().Do(t.Context(), testCall(e)); got.Outcome != choice.Stale {
+		if got := testPool().Do(t.Context(), testCall(e)); got.Outcome != choice.NotSent {
 			t.Errorf("got %+v", got)
 		}
 	}
@@ -274,7 +274,7 @@
 		pool.Do(ctx, testCall(f))
 	}()
 	q.Next(t)
-	if got := pool.Do(t.Context(), testCall(e)); got.Outcome != choice.Stale {
+	if got := pool.Do(t.Context(), testCall(e)); got.Outcome != choice.NotSent {
 		t.Errorf("got %+v", got)
 	}
 	cancel()
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -375,8 +375,8 @@
 	_, a := j.attempt(e)
 	if a != nil {
 		a.done = true
-		a.notRun = e.Outcome == choice.NoRoom || e.Outcome == choice.NoRoute || e.Outcome == choice.Stale
-		if a.began && (e.Outcome == choice.NoRoute || e.Outcome == choice.Stale) {
+		a.notRun = e.Outcome == choice.Rejected || e.Outcome == choice.ConnectFailed || e.Outcome == choice.NotSent
+		if a.began && (e.Outcome == choice.ConnectFailed || e.Outcome == choice.NotSent) {
 			a.notRun = false
 		}
 	}
@@ -390,7 +390,7 @@
 			n.waits[k] = until{e.At, e.At + e.Wait}
 		}
 	}
-	if d := &j.dests[e.Dest]; d.down > 0 && e.Outcome != choice.Pass && e.Outcome != choice.Stale && e.Outcome != choice.Undone {
+	if d := &j.dests[e.Dest]; d.down > 0 && e.Outcome != choice.Pass && e.Outcome != choice.NotSent && e.Outcome != choice.Cancelled {
 		d.witnesses[e.Node] = true
 	}
 }
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -137,7 +137,7 @@
 		}},
 		"repeat": {"trouble", func(b *breaker, _ time.Duration, events []choice.Event, a actions) actions {
 			for _, e := range events { // one that may have run goes to the other zone
-				if x, ok := e.(choice.Ended); ok && (x.Outcome == choice.TooSlow || x.Outcome == choice.Fault || x.Outcome == choice.Cut) {
+				if x, ok := e.(choice.Ended); ok && (x.Outcome == choice.TimedOut || x.Outcome == choice.Fault || x.Outcome == choice.ConnReset) {
 					b.ran[x.ID] = b.sends[x.ID].Endpoint
 				}
 			}
@@ -203,7 +203,7 @@
 	up := model.Event{What: model.OutageEnded, At: second(2), Endpoint: at.ID}
 	fell := model.Event{What: model.Fell, At: second(3)}
 	taken := model.Event{What: model.TakenOn, At: second(1), Msg: "a", First: "a"}
-	answered := model.Event{What: model.Answered, At: second(2), Msg: "a", First: "a", Outcome: choice.NoRoom}
+	answered := model.Event{What: model.Answered, At: second(2), Msg: "a", First: "a", Outcome: choice.Rejected}
 	late := answered
 	late.At = second(30)
 	join := func(parts ...[]model.Event) (out []model.Event) {
@@ -219,10 +219,10 @@
 		"within the grace of a drain":  {"", join([]model.Event{told}, try(0, "a", 0, 1.9), []model.Event{answered})},
 		"after it":                     {"drain", join([]model.Event{told}, try(0, "a", 0, 2.2))},
 		"another node was not told":    {"", join([]model.Event{told}, try(1, "a", 0, 2.2))},
-		"crossing a wait":              {"", join(try(0, "a", 0, 1), []model.Event{ended(0, "a", 1.1, choice.NoRoom, time.Second)}, try(0, "b", 0, 1.15))},
-		"inside a wait":                {"wait", join(try(0, "a", 0, 1), []model.Event{ended(0, "a", 1.1, choice.NoRoom, time.Second)}, try(0, "b", 0, 1.5))},
-		"after a wait":                 {"", join(try(0, "a", 0, 1), []model.Event{ended(0, "a", 1.1, choice.NoRoom, time.Second)}, try(0, "b", 0, 2.2))},
-		"pushed over by who knew":      {"cold", join([]model.Event{down}, try(0, "a", 0, 1), []model.Event{ended(0, "a", 1.1, choice.NoRoute, 0), up}, try(0, "b", 0, 2.5), []model.Event{fell})},
+		"crossing a wait":              {"", join(try(0, "a", 0, 1), []model.Event{ended(0, "a", 1.1, choice.Rejected, time.Second)}, try(0, "b", 0, 1.15))},
+		"inside a wait":                {"wait", join(try(0, "a", 0, 1), []model.Event{ended(0, "a", 1.1, choice.Rejected, time.Second)}, try(0, "b", 0, 1.5))},
+		"after a wait":                 {"", join(try(0, "a", 0, 1), []model.Event{ended(0, "a", 1.1, choice.Rejected, time.Second)}, try(0, "b", 0, 2.2))},
+		"pushed over by who knew":      {"cold", join([]model.Event{down}, try(0, "a", 0, 1), []model.Event{ended(0, "a", 1.1, choice.ConnectFailed, 0), up}, try(0, "b", 0, 2.5), []model.Event{fell})},
 		"pushed over by who did not":   {"", join([]model.Event{down, up}, try(0, "a", 0, 2.5), []model.Event{fell})},
 		"answered in time":             {"", join(try(0, "a", 0, 1)[:1], []model.Event{taken, answered})},
 		"answered twice":               {"answer", join(try(0, "a", 0, 1)[:1], []model.Event{taken, answered, answered})},
--- a/internal/lab/judge/result.go
+++ b/internal/lab/judge/result.go
@@ -118,7 +118,7 @@
 			r.Delivered, r.InTime, w.InTime, d.Delivered = r.Delivered+1, r.InTime+1, w.InTime+1, d.Delivered+1
 		case t.delivered:
 			r.Delivered, w.Late, d.Delivered = r.Delivered+1, w.Late+1, d.Delivered+1
-		case t.answered && t.end == choice.NoRoom:
+		case t.answered && t.end == choice.Rejected:
 			r.Refused, w.Refused, d.Refused = r.Refused+1, w.Refused+1, d.Refused+1
 		default:
 			r.Failed, w.Failed = r.Failed+1, w.Failed+1
--- a/internal/lab/loopback/socket.go
+++ b/internal/lab/loopback/socket.go
@@ -164,7 +164,7 @@
 		text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 	case choice.Fault:
 		text = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
-	case choice.NoRoom:
+	case choice.Rejected:
 		if text = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"; a.wait > 0 {
 			text = "HTTP/1.1 429 Too Many Requests\r\nRetry-After: " + strconv.FormatFloat(a.wait.Seconds(), 'f', 3, 64) + "\r\nContent-Length: 0\r\n\r\n"
 		}
--- a/internal/lab/losses/losses.go
+++ b/internal/lab/losses/losses.go
@@ -175,7 +175,7 @@
 		case e.Outcome == choice.Pass && m.deliveredAt == 0:
 			m.deliveredAt = e.At
 			m.earned, _ = judge.Worth(&l.day.Settings, m.class, m.asked, e.At-m.at)
-		case e.Outcome == choice.NoRoom && m.firstSent == 0 && e.At-m.handedIn <= atArrival:
+		case e.Outcome == choice.Rejected && m.firstSent == 0 && e.At-m.handedIn <= atArrival:
 			m.refusedAtArrival = true
 		}
 	}
@@ -205,9 +205,9 @@
 	switch {
 	case e.Outcome == choice.Pass:
 		cause = Slow
-	case e.Outcome == choice.NoRoom:
+	case e.Outcome == choice.Rejected:
 		cause = OverLimit
-	case e.Outcome == choice.NoRoute || l.down[m.endpoint[e.Attempt]]:
+	case e.Outcome == choice.ConnectFailed || l.down[m.endpoint[e.Attempt]]:
 		cause = Dead
 	}
 	m.spent[cause] += max(took, time.Millisecond)
--- a/internal/lab/losses/losses_test.go
+++ b/internal/lab/losses/losses_test.go
@@ -47,19 +47,19 @@
 		events []model.Event
 		want   Cause
 	}{
-		"no room at arrival":   {append(busy(), in, answer(0, choice.NoRoom)), ArrivalFull},
-		"room at arrival":      {[]model.Event{in, answer(0, choice.NoRoom)}, ArrivalRoom},
-		"waited in vain":       {append(busy(), in, answer(9*s, choice.NoRoom)), WaitFull},
-		"waited for nothing":   {[]model.Event{in, answer(9*s, choice.NoRoom)}, WaitRoom},
+		"no room at arrival":   {append(busy(), in, answer(0, choice.Rejected)), ArrivalFull},
+		"room at arrival":      {[]model.Event{in, answer(0, choice.Rejected)}, ArrivalRoom},
+		"waited in vain":       {append(busy(), in, answer(9*s, choice.Rejected)), WaitFull},
+		"waited for nothing":   {[]model.Event{in, answer(9*s, choice.Rejected)}, WaitRoom},
 		"late, with room":      {[]model.Event{in, sent(4*s, 0), ended(5*s, 0, choice.Pass), answer(5*s, choice.Pass)}, WaitRoom},
-		"over the limit":       {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.NoRoom), sent(4*s, 1), ended(5*s, 1, choice.Pass), answer(5*s, choice.Pass)}, OverLimit},
-		"nothing there":        {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.NoRoute), answer(9*s, choice.NoRoom)}, Dead},
-		"down":                 {[]model.Event{in, at(0, model.OutageBegan, model.Event{}), sent(0, 0), ended(3*s, 0, choice.TooSlow), answer(9*s, choice.Fault)}, Dead},
-		"its answer got lost":  {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.Cut), answer(9*s, choice.Fault)}, Retried},
+		"over the limit":       {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.Rejected), sent(4*s, 1), ended(5*s, 1, choice.Pass), answer(5*s, choice.Pass)}, OverLimit},
+		"nothing there":        {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.ConnectFailed), answer(9*s, choice.Rejected)}, Dead},
+		"down":                 {[]model.Event{in, at(0, model.OutageBegan, model.Event{}), sent(0, 0), ended(3*s, 0, choice.TimedOut), answer(9*s, choice.Fault)}, Dead},
+		"its answer got lost":  {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.ConnReset), answer(9*s, choice.Fault)}, Retried},
 		"the partner was slow": {[]model.Event{in, sent(0, 0), ended(3*s, 0, choice.Pass), answer(3*s, choice.Pass)}, Slow},
-		"refused in an outage": {[]model.Event{at(0, model.OutageBegan, model.Event{}), in, answer(0, choice.NoRoom)}, Hurt},
-		"refused after one":    {[]model.Event{at(-4*s, model.OutageBegan, model.Event{}), at(-3*s, model.OutageEnded, model.Event{}), in, answer(0, choice.NoRoom)}, Hurt},
-		"its zone was cut":     {[]model.Event{at(101*s, model.HandedIn, model.Event{Node: 1}), at(101*s, model.Answered, model.Event{Node: 1, Outcome: choice.NoRoom})}, Cut},
+		"refused in an outage": {[]model.Event{at(0, model.OutageBegan, model.Event{}), in, answer(0, choice.Rejected)}, Hurt},
+		"refused after one":    {[]model.Event{at(-4*s, model.OutageBegan, model.Event{}), at(-3*s, model.OutageEnded, model.Event{}), in, answer(0, choice.Rejected)}, Hurt},
+		"its zone was cut":     {[]model.Event{at(101*s, model.HandedIn, model.Event{Node: 1}), at(101*s, model.Answered, model.Event{Node: 1, Outcome: choice.Rejected})}, Cut},
 		"the node was dead":    {[]model.Event{in, at(0, model.Unheard, model.Event{})}, Node},
 	} {
 		l := New(day())
@@ -87,7 +87,7 @@
 			l.Observe(&model.Event{
 				At: now, What: model.What(rapid.IntRange(0, int(model.Strange)).Draw(t, "what")), Msg: id, First: id, Endpoint: "e",
 				Node: rapid.IntRange(0, 1).Draw(t, "node"), Attempt: rapid.IntRange(0, 2).Draw(t, "attempt"), Deadline: now + 10*s,
-				Outcome: choice.Outcome(rapid.IntRange(0, int(choice.Stale)).Draw(t, "outcome")), InShare: rapid.Bool().Draw(t, "share"),
+				Outcome: choice.Outcome(rapid.IntRange(0, int(choice.NotSent)).Draw(t, "outcome")), InShare: rapid.Bool().Draw(t, "share"),
 			})
 		}
 		r := l.Report()
--- a/internal/lab/model/call.go
+++ b/internal/lab/model/call.go
@@ -50,10 +50,10 @@
 	there := w.delay(h.zone, e.zone)
 	switch {
 	case w.cut(h.zone, e.zone) || e.is(Vanish):
-		w.after(w.Day.Settings.DialTimeout, func() { c.end(choice.NoRoute, 0) })
+		w.after(w.Day.Settings.DialTimeout, func() { c.end(choice.ConnectFailed, 0) })
 		return
 	case e.is(Crash) || (e.dest.spec.Conns > 0 && e.conns >= e.dest.spec.Conns):
-		w.after(2*there, func() { c.end(choice.NoRoute, 0) })
+		w.after(2*there, func() { c.end(choice.ConnectFailed, 0) })
 		return
 	}
 	e.conns++
@@ -65,7 +65,7 @@
 			e.conns--
 		case h.closedTo(e):
 			h.giveIdle(e)
-			c.end(choice.Stale, 0)
+			c.end(choice.NotSent, 0)
 		default:
 			c.write()
 		}
@@ -103,7 +103,7 @@
 // reset breaks the connection.
 func (c *call) reset() {
 	if c.remote != nil {
-		c.remote.answer(c, choice.Cut, 0)
+		c.remote.answer(c, choice.ConnReset, 0)
 		return
 	}
 	w := c.h.w
@@ -111,22 +111,22 @@
 		if !c.done {
 			c.ep.conns--
 		}
-		c.end(choice.Cut, 0)
+		c.end(choice.ConnReset, 0)
 	})
 }
 
 // expire is the end of the node's patience.
-func (c *call) expire() { c.giveUp(choice.TooSlow) }
+func (c *call) expire() { c.giveUp(choice.TimedOut) }
 
 // cancel gives the call up.
-func (c *call) cancel() { c.giveUp(choice.Undone) }
+func (c *call) cancel() { c.giveUp(choice.Cancelled) }
 
 // giveUp closes the connection; a call whose last byte was not out has not run.
 func (c *call) giveUp(o choice.Outcome) {
 	switch {
 	case c.done:
 	case !c.written:
-		c.end(choice.NoRoute, 0)
+		c.end(choice.ConnectFailed, 0)
 	default:
 		c.ep.conns--
 		c.end(o, 0)
@@ -145,7 +145,7 @@
 	}
 	delete(h.out, key{c.id, c.attempt})
 	switch o {
-	case choice.NoRoom, choice.NoRoute, choice.Stale:
+	case choice.Rejected, choice.ConnectFailed, choice.NotSent:
 		c.msg.sends[c.attempt].notRun, c.msg.sends[c.attempt].failed = true, true
 	case choice.Pass:
 	default:
--- a/internal/lab/model/host.go
+++ b/internal/lab/model/host.go
@@ -167,7 +167,7 @@
 		return false
 	}
 	if s := h.w.Day.Settings; s.MaxOpen > 0 && h.open >= s.MaxOpen {
-		h.answer(m, choice.NoRoom, 0)
+		h.answer(m, choice.Rejected, 0)
 		return true
 	}
 	m.fresh = true
@@ -230,7 +230,7 @@
 		h.send(a)
 	case choice.PushBack:
 		if m := h.msgs[a.ID]; m != nil {
-			h.finish(m, choice.NoRoom, a.RetryAfter)
+			h.finish(m, choice.Rejected, a.RetryAfter)
 		} else {
 			h.strange("a refusal of %q, which it does not hold", a.ID)
 		}
@@ -288,12 +288,12 @@
 	case slots > 0 && len(h.out) >= slots, most > 0 && c.attempt >= most:
 		c.done = true
 		m.sends[c.attempt].notRun = true
-		h.deliver(choice.Ended{ID: m.id, Attempt: c.attempt, Endpoint: e.id, Outcome: choice.Stale, NoSlot: c.attempt < most})
+		h.deliver(choice.Ended{ID: m.id, Attempt: c.attempt, Endpoint: e.id, Outcome: choice.NotSent, NoSlot: c.attempt < most})
 		return
 	}
 	h.out[key{m.id, c.attempt}] = c
 	if h.closedTo(e) {
-		c.end(choice.Stale, 0)
+		c.end(choice.NotSent, 0)
 		return
 	}
 	c.start()
@@ -386,7 +386,7 @@
 	h.w.tell(Event{
 		What: Answered, Node: h.n, Msg: m.id, First: m.first, Class: m.class, Tenant: m.tenant, Dest: m.dest, Outcome: o, Wait: wait, Deadline: m.deadline,
 	})
-	if o == choice.NoRoom {
+	if o == choice.Rejected {
 		h.w.front.refused(m, h.n, wait)
 	}
 }
--- a/internal/lab/model/partner.go
+++ b/internal/lab/model/partner.go
@@ -219,7 +219,7 @@
 	if wait > 0 && w.rng.partners.Float64() >= e.dest.spec.Tells {
 		wait = 0
 	}
-	c.answer(choice.NoRoom, wait)
+	c.answer(choice.Rejected, wait)
 }
 
 // charge books a call against the cold budget, and lets the destination fall over when that is gone.
--- a/internal/lab/model/remote.go
+++ b/internal/lab/model/remote.go
@@ -204,7 +204,7 @@
 	if m == nil {
 		return
 	}
-	w.tell(Event{What: Ended, Node: node, Msg: id, First: m.first, Class: m.class, Dest: m.dest, Attempt: len(m.sends) - 1, Outcome: choice.Undone})
+	w.tell(Event{What: Ended, Node: node, Msg: id, First: m.first, Class: m.class, Dest: m.dest, Attempt: len(m.sends) - 1, Outcome: choice.Cancelled})
 }
 
 // Answer is what a node says to a hand-in. It runs on the world's goroutine.
@@ -225,7 +225,7 @@
 		w.front.again(m.held)
 	case Busy:
 		m.taken = true // it has its end with that
-		w.end(m, node, choice.NoRoom, wait)
+		w.end(m, node, choice.Rejected, wait)
 	case Failed:
 		m.taken = true
 		w.end(m, node, choice.Fault, 0)
@@ -238,7 +238,7 @@
 	if m == nil || m.ended {
 		return
 	}
-	o := choice.NoRoom
+	o := choice.Rejected
 	if t == Failed {
 		o = choice.Fault
 	}
@@ -254,7 +254,7 @@
 	w.tell(Event{
 		What: Answered, Node: node, Msg: m.id, First: m.first, Class: m.class, Tenant: m.tenant, Dest: m.dest, Outcome: o, Wait: wait, Deadline: m.deadline,
 	})
-	if o == choice.NoRoom {
+	if o == choice.Rejected {
 		w.front.refused(m.held, node, wait)
 	}
 }
--- a/internal/lab/policy/policy.go
+++ b/internal/lab/policy/policy.go
@@ -276,7 +276,7 @@
 		}
 	}
 	took := (t.now - f.sent).Seconds()
-	if e.Outcome != choice.Stale && e.Outcome != choice.NoRoom {
+	if e.Outcome != choice.NotSent && e.Outcome != choice.Rejected {
 		if e.Outcome != choice.Pass {
 			took = max(took, m.class.Aim.Seconds())
 		}
@@ -291,7 +291,7 @@
 	}
 	m.out = false
 	p.dest.queue++
-	ran := e.Outcome == choice.Fault || e.Outcome == choice.TooSlow || e.Outcome == choice.Cut || e.Outcome == choice.Undone
+	ran := e.Outcome == choice.Fault || e.Outcome == choice.TimedOut || e.Outcome == choice.ConnReset || e.Outcome == choice.Cancelled
 	if ran && m.class.Effect != choice.Safe && !m.touched {
 		m.touched, m.mayRun, m.zone = true, f.sent, p.zone
 	}
--- a/internal/lab/stage/ledger.go
+++ b/internal/lab/stage/ledger.go
@@ -296,9 +296,9 @@
 	case model.Busy:
 		l.bin(at).Busy++
 		if end {
-			l.over(m, at, choice.NoRoom, "refused")
+			l.over(m, at, choice.Rejected, "refused")
 		} else { // the try is over, the message goes on
-			l.observe(l.answer(m, at, choice.NoRoom))
+			l.observe(l.answer(m, at, choice.Rejected))
 		}
 	case model.Failed:
 		l.bin(at).Failed++
@@ -347,7 +347,7 @@
 	if state == "failed" {
 		l.over(m, at, choice.Fault, "failed late")
 	} else {
-		l.over(m, at, choice.NoRoom, "returned")
+		l.over(m, at, choice.Rejected, "returned")
 	}
 }
 
@@ -406,7 +406,7 @@
 	case partner.Refused:
 		b.Refused++
 		e.refused++
-		l.ended(node, e, s, at, choice.NoRoom)
+		l.ended(node, e, s, at, choice.Rejected)
 	case partner.Ran:
 		b.Ran++
 		if n.delivered < 0 {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -242,7 +242,7 @@
 func (n *Node) orphans() (events []choice.Event) {
 	for a, o := range n.out {
 		if o.endpoint == nil {
-			events = append(events, n.called(n.remoteEnded(handover.EndedCall{CallName: handover.CallName{ID: a.id, N: a.n}, Outcome: choice.Cut})))
+			events = append(events, n.called(n.remoteEnded(handover.EndedCall{CallName: handover.CallName{ID: a.id, N: a.n}, Outcome: choice.ConnReset})))
 		}
 	}
 	return events
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -662,7 +662,7 @@
 	}
 	switch e.Outcome {
 	case choice.Pass:
-	case choice.NoRoom, choice.NoRoute, choice.Stale:
+	case choice.Rejected, choice.ConnectFailed, choice.NotSent:
 		n.journal.NotRun(m, e.n)
 	default:
 		n.journal.Failed(m, e.n)
@@ -779,7 +779,7 @@
 func (n *Node) send(ctx context.Context, a choice.Send) {
 	p, e := n.messages[a.ID], n.eps[a.Endpoint]
 	if e == nil {
-		// The list has just lost it; a call there is Stale, and so proven not to have run.
+		// The list has just lost it; a call there is NotSent, and so proven not to have run.
 		e = &egress.Endpoint{ID: a.Endpoint, Wait: new(atomic.Int64)}
 		e.Shut.Store(true)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -74,8 +74,8 @@
 }
 
 var outcomes = map[string]choice.Outcome{
-	"pass": choice.Pass, "fault": choice.Fault, "no_room": choice.NoRoom, "too_slow": choice.TooSlow,
-	"no_route": choice.NoRoute, "cut": choice.Cut, "undone": choice.Undone, "stale_send": choice.Stale,
+	"pass": choice.Pass, "fault": choice.Fault, "no_room": choice.Rejected, "too_slow": choice.TimedOut,
+	"no_route": choice.ConnectFailed, "cut": choice.ConnReset, "undone": choice.Cancelled, "stale_send": choice.NotSent,
 }
 
 var phases = map[string]choice.Phase{
@@ -130,10 +130,10 @@
 			ID: l.Handle, Attempt: l.Go, Endpoint: l.Endpoint, Outcome: o, Took: Time(l.Duration),
 			Closed: l.Closed, Report: report(l.Feedback),
 		}
-		if o == choice.NoRoom {
+		if o == choice.Rejected {
 			ev.Wait = Time(l.Note)
 		}
-		ev.NoSlot = o == choice.Stale && l.Note != 0
+		ev.NoSlot = o == choice.NotSent && l.Note != 0
 		return ev, nil
 	case "Echo":
 		o, ok := outcomes[l.Code]
