Try first what a restart finds untried

Cause: next() sends first what loses most worth by waiting (choice/choice.go, loss); what a restart finds is past its aim and loses little, so that newer messages go before it until its time is up. Nothing was given up early: all had under 0.03 s left. Change: what is found untried comes before all others of its destination, in order of arrival. Test: 12 of 20 tried before, 15 at least now.

--- a/choice/carry.go
+++ b/choice/carry.go
@@ -49,7 +49,7 @@
 	return map[string]any{
 		"id": &m.id, "key": &m.key, "worth": &m.worth, "arrived": &m.arrived, "born": &m.born, "aim": &m.aim,
 		"dropDead": &m.dropDead, "attempts": &m.attempts, "out": &m.out, "mayRun": &m.mayRun, "touched": &m.touched,
-		"zone": &m.zone, "notBefore": &m.notBefore, "over": &m.over,
+		"zone": &m.zone, "notBefore": &m.notBefore, "over": &m.over, "found": &m.found,
 	}
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -188,7 +188,7 @@
 	}
 	m, d := s.take(e.Arrived)
 	m.attempts, m.touched = e.Attempts, e.Touched && m.class.Effect != Safe
-	m.mayRun, m.zone = e.MayRun, e.Zone
+	m.mayRun, m.zone, m.found = e.MayRun, e.Zone, true
 	late := m.touched && m.class.Effect == Keyed && s.now >= s.windowEnd(m)
 	if (m.touched && m.class.Effect == Unsafe) || late || s.spent(m) || s.now >= m.dropDead-endMargin {
 		s.giveUp(m)
@@ -687,8 +687,12 @@
 	return best, bestEp
 }
 
-// loss is the worth that a message loses by waiting for another span.
+// loss is the worth that a message loses by waiting for another span. What a restart found untried comes before all
+// others, in order of arrival: it was taken on in order to be delivered, and by its worth alone would wait to its end.
 func (s *Sender) loss(m *message, wait time.Duration) float64 {
+	if m.found && m.attempts == 0 {
+		return math.MaxFloat64
+	}
 	usual := time.Duration(0)
 	if e := m.dest.endpoints; len(e) > 0 {
 		usual = span(e[0].usual)
--- a/choice/resume_test.go
+++ b/choice/resume_test.go
@@ -1,6 +1,8 @@
 package choice
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -104,3 +106,49 @@
 		t.Error("a held message's time was up and it was given no end")
 	}
 }
+
+// What a restart finds untried is tried, though newer messages that are worth more keep coming to a destination which takes
+// fewer than come: it was taken on, and would wait to its end behind them.
+func TestWhatARestartFindsIsTried(t *testing.T) {
+	cfg := settings()
+	s, now := New(cfg, 1), time.Hour
+	s.Step(now, []Event{list(Entry{Endpoint: "a", Dest: 0, Weight: 8})}) // of which a half is this sender's at most
+	const found, limit = 20, 4
+	var events []Event
+	for i := range found {
+		events = append(events, Resumed{Arrived: Arrived{ID: fmt.Sprint("found", i), Class: 0, DropDead: now + 9*time.Second}})
+	}
+	tried, gaveUp, taken, window := 0, 0, 0, now
+	for n := 0; now < time.Hour+9*time.Second; n++ {
+		if now-window >= time.Second {
+			window, taken = now, 0
+		}
+		if n%5 == 0 { // ten a second
+			events = append(events, Arrived{ID: fmt.Sprint("new", n), Class: 2, DropDead: now + 10*time.Second})
+		}
+		actions := s.Step(now, append(events, Rang{Tag: "sweep"}))
+		events = nil
+		for _, a := range actions {
+			switch a := a.(type) {
+			case Send:
+				o := Pass
+				if taken++; taken > limit {
+					o = Rejected
+				}
+				if strings.HasPrefix(a.ID, "found") && o == Pass {
+					tried++
+				}
+				m := s.msgs[a.ID]
+				events = append(events, Ended{ID: a.ID, Attempt: m.attempts - 1, Endpoint: a.Endpoint, Outcome: o, Took: 20 * ms, Closed: o == Pass})
+			case PushBack:
+				if strings.HasPrefix(a.ID, "found") {
+					gaveUp++
+				}
+			}
+		}
+		now += 20 * ms
+	}
+	if tried < found*3/4 {
+		t.Errorf("of %d found, %d are tried and %d given up", found, tried, gaveUp)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -188,6 +188,7 @@
 	notBefore time.Duration
 	waits     bool
 	over      bool
+	found     bool // at a restart
 }
 
 // attempt names one Send.
