--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -165,7 +165,8 @@
 	}
 	waited := time.Since(began)
 	k, err := p.dial(ctx, addr)
-	if err != nil && ctx.Err() != nil && waited > p.dialTimeout/10 {
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() && waited > p.dialTimeout/10 {
 		return nil, errNoPlace // what was left of the time says nothing of the endpoint
 	}
 	return k, err
