--- a/choice/choice.go
+++ b/choice/choice.go
@@ -687,8 +687,8 @@
 	return best, bestEp
 }
 
-// loss is the worth that a message loses by waiting for another span. What a restart found untried comes before all
-// others, in order of arrival: it was taken on in order to be delivered, and by its worth alone would wait to its end.
+// loss is the worth that a message loses by waiting for another span. What a restart found untried comes
+// before all others, in order of arrival: by its worth alone it would wait to its end.
 func (s *Sender) loss(m *message, wait time.Duration) float64 {
 	if m.found && m.attempts == 0 {
 		return math.MaxFloat64
