Know a change within 6 s where discovery has to be asked, whatever asks have met

Change: an ask has 2 s (AskPatience), a pause is 3.5 s at most (askPause), and after a watch that has fallen silent 1.25 s (silentPause); a silent watch is told from one that was ended (errSilent). The pauses went to listwatch, where their sums are held to the 6 s.

--- a/internal/listwatch/discovery.go
+++ b/internal/listwatch/discovery.go
@@ -105,8 +105,30 @@
 	// AgentPatience is the same of an agent of the platform's on the node's machine, which answers at once. After Silence
 	// there is 1.5 s left until what was missed counts as told: time for a second ask if the first meets silence as well.
 	AgentPatience = 750 * time.Millisecond
+	// AskPatience is the same where discovery has to be asked: a call that it can't take in fails after that.
+	AskPatience = 2 * time.Second
+	askSpacing  = 50 * time.Millisecond // of the whole fleet's first asks again after a failure common to all
+	// agentPause is the longest pause between asks of an agent on the node's machine. What an agent gets when discovery
+	// returns counts as told at once, and sends have to obey it within the drain grace.
+	agentPause = 250 * time.Millisecond
+	// askPause is the longest where discovery has to be asked. A change counts as told 6 s after discovery had it and could
+	// be reached. An ask that began just before it could ends after AskPatience, and after this pause the next one has 0.5 s.
+	askPause = 3500 * time.Millisecond
+	// silentPause is the longest after a watch that fell silent: with Silence it leaves 0.25 s of the 6 s for the answer.
+	silentPause = 1250 * time.Millisecond
 )
 
+// AgentPauses are the pauses between asks of an agent, to whom they are no work.
+func AgentPauses() backoff.Backoff { return backoff.Backoff{First: backoff.First, Last: agentPause} }
+
+// AskPauses are those between asks where discovery has to be asked. Every ask is work for it, and one that it can't take in
+// fails late: a whole fleet that asks again within a second or two keeps it from answering anybody. So the pauses grow
+// with the fleet, up to askPause.
+func AskPauses(fleet int) backoff.Backoff {
+	first := min(max(backoff.First, time.Duration(fleet)*askSpacing), askPause)
+	return backoff.Backoff{First: first, Last: askPause}
+}
+
 // Watcher follows the list.
 type Watcher struct {
 	Log    *slog.Logger
@@ -154,7 +176,7 @@
 		w.Log.Debug("list_watch_ended", "addr", s.addr, "err", err)
 		f.trouble(reason(err))
 		var wait time.Duration
-		if wait, held = w.rest(err, s.lists > 0, time.Since(s.began)); held == 0 {
+		if wait, held = w.rest(err, s); held == 0 {
 			w.Turned()
 			turn++
 		}
@@ -180,6 +202,7 @@
 	cancel context.CancelFunc
 	began  time.Time
 	lists  int
+	heard  bool          // a message, or an empty line between messages
 	beat   time.Duration // of the server; 0 where it has none
 }
 
@@ -377,6 +400,7 @@
 
 // hear takes one line of a stream.
 func (f *follower) hear(m said, first *stream, links *Links) error {
+	m.from.heard = true
 	if m.text == nil {
 		f.Heard()
 		if links != nil && m.from == first {
@@ -412,9 +436,13 @@
 
 // rest is how long to wait after a watch that has ended so, and the turn to come with, 0 for none: then it is the next
 // server's.
-func (w *Watcher) rest(err error, served bool, took time.Duration) (time.Duration, uint64) {
+func (w *Watcher) rest(err error, s *stream) (time.Duration, uint64) {
 	if w.Turns == nil {
-		return w.Pause.Next(), 0
+		pause := w.Pause.Next()
+		if s.heard && errors.Is(err, errSilent) {
+			pause = min(pause, rand.N(silentPause))
+		}
+		return pause, 0
 	}
 	if no, ok := errors.AsType[*StatusError](err); ok && no.Said {
 		wait, sense := w.Turns.Told(no.Wait)
@@ -427,8 +455,8 @@
 		}
 		return wait, no.Turn
 	}
-	if served { // all who followed that server have lost it
+	if s.lists > 0 { // all who followed that server have lost it
 		return w.Turns.First(), 0
 	}
-	return w.Turns.Again(took), 0
+	return w.Turns.Again(time.Since(s.began)), 0
 }
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -111,6 +111,9 @@
 // BeatHeader says, in milliseconds, how often a server that was asked for it says something.
 const BeatHeader = "Registry-Beat-Ms"
 
+// errSilent is the end of a watch that has said nothing for too long.
+var errSilent = errors.New("it is silent")
+
 // Watch is how a watch is followed. The functions may be nil.
 type Watch struct {
 	Patience time.Duration // from the ask, dial and head of the answer included, to the first message or empty line
@@ -126,9 +129,9 @@
 	if w.Silence == 0 {
 		w.Silence = Silence
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(w.Patience, cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(w.Patience, func() { cancel(errSilent) })
 	defer silence.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -2,10 +2,8 @@
 
 import (
 	"slices"
-	"time"
 
 	"harrierramp/choice"
-	"harrierramp/internal/backoff"
 	"harrierramp/internal/listwatch"
 	"harrierramp/internal/wire"
 )
@@ -29,21 +27,3 @@
 	}
 	return out
 }
-
-const (
-	askSpacing = 50 * time.Millisecond // of the whole fleet's first asks again after a failure common to all
-	// agentPause is the longest pause between asks of an agent on the node's machine. What an agent gets when discovery
-	// returns counts as told at once, and sends have to obey it within the drain grace.
-	agentPause = 250 * time.Millisecond
-)
-
-// askPauses are the pauses between asks for the list. Where discovery has to be asked, every ask is work for it, and
-// one that it can't take in fails late: a whole fleet that asks again within a second or two keeps it from answering
-// anybody. So the pauses grow with the fleet, whose asks together stay under a rate that doesn't hang on its size.
-func askPauses(s choice.Settings) backoff.Backoff {
-	if !s.AskForList {
-		return backoff.Backoff{First: backoff.First, Last: agentPause}
-	}
-	first := max(backoff.First, time.Duration(s.Fleet)*askSpacing)
-	return backoff.Backoff{First: first, Last: max(backoff.Last, 8*first)}
-}
--- a/internal/node/listservice.go
+++ b/internal/node/listservice.go
@@ -17,11 +17,11 @@
 // newWatcher is what follows the list for the node, from what it knows now.
 func (n *Node) newWatcher(tell func(listwatch.List)) *listwatch.Watcher {
 	w := &listwatch.Watcher{
-		Log: n.log, Client: n.client, At: n.discovery, Pause: askPauses(n.cfg.Settings), Heard: n.figures.ListLine,
+		Log: n.log, Client: n.client, At: n.discovery, Pause: listwatch.AgentPauses(), Patience: listwatch.AgentPatience, Heard: n.figures.ListLine,
 		Turned: func() { n.figures.ListTurns.Add(1) }, Tell: tell,
 	}
-	if !n.cfg.Settings.AskForList {
-		w.Patience = listwatch.AgentPatience
+	if n.cfg.Settings.AskForList {
+		w.Pause, w.Patience = listwatch.AskPauses(n.cfg.Settings.Fleet), listwatch.AskPatience
 	}
 	if n.cfg.Registry != nil {
 		w.Turns, w.Begin, w.Check = n.turn(), n.cold != nil && !n.cold.Whole(), n.newDoubt().Check
