Give idle connections back where tables are full, and take no such refusal for a limit's

Half of all calls were refused from the first second on, before any restart.

Cause: each node keeps the connection of a call for the next one, and a fleet's idle connections fill an endpoint's table; then only those who hold one get through, and who is refused takes it for the limit and lowers its part, down to half of an even part. choice.go: giveBack acted only after a connect that failed and was followed by a pass, and not while anything waited; judge cut for every refusal.

Change: a sender compares, by kind of destination, the shares refused over new and over kept connections. A limit refuses both alike. Where new ones are refused by 0.4 more, idle connections of the kind go back after each call for 30 s, unless the step calls there again, and a refusal with no wait over a new connection does not lower the part; the rests between tries stay.

Left: whoever has connections of its own everywhere and is never refused does not learn that others are.

--- a/choice/account.go
+++ b/choice/account.go
@@ -70,6 +70,25 @@
 	g.at = now
 }
 
+// tableSample takes a call's outcome into what is known of the connection tables of a kind, and returns by how much more
+// of the calls over new connections are refused than of those over kept ones. A limit refuses both alike; a full table
+// refuses the new ones, and those that are kept idle fill it. A refusal that tells a wait is a limit's, or a shut door's.
+func (s *Sender) tableSample(kind int, e Ended) float64 {
+	t, refused := s.tables[kind], 0.0
+	if e.Outcome == Rejected {
+		refused = 1
+	}
+	switch {
+	case e.Outcome != Pass && (e.Outcome != Rejected || e.Wait > 0):
+	case e.Reused:
+		t.Kept += tableWeight * (refused - t.Kept)
+	default:
+		t.New += tableWeight * (refused - t.New)
+	}
+	s.tables[kind] = t
+	return t.New - t.Kept
+}
+
 // windowEnd is the last moment at which a keyed message's repeat is surely dropped: its call may begin as
 // late as a connect takes at the most.
 func (s *Sender) windowEnd(m *message) time.Duration {
--- a/choice/carry.go
+++ b/choice/carry.go
@@ -64,7 +64,7 @@
 // fields of the sender are those that are no structure of their own.
 func (s *Sender) fields() map[string]any {
 	return map[string]any{
-		"now": &s.now, "rests": &s.rests, "crowded": &s.crowded, "busy": &s.busy, "wakeAt": &s.wakeAt, "asking": &s.asking,
+		"now": &s.now, "rests": &s.rests, "crowded": &s.crowded, "tables": &s.tables, "busy": &s.busy, "wakeAt": &s.wakeAt, "asking": &s.asking,
 		"askAt": &s.askAt, "out": &s.out, "failing": &s.failing,
 	}
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,7 +43,9 @@
 	roughWeight = 1.5 // a rough weight may be this many times too high
 
 	// Connections.
-	crowdedSpan = 30 * time.Second // idle connections of a kind are given back so long after a failed connect
+	crowdedSpan = 30 * time.Second // idle connections of a kind are given back so long after a sign
+	tableWeight = 0.1              // of full tables: by a smoothed share, weighing a call so much,
+	crowdedSign = 0.4              // so many more calls are refused over new connections than over kept ones
 
 	// Slots.
 	slowFactor = 5                      // a call older than so many usual times makes its destination slow
@@ -78,7 +80,7 @@
 		cfg: cfg, source: source, rng: rand.New(source),
 		dests: map[int]*destination{}, eps: map[string]*endpoint{}, msgs: map[string]*message{},
 		lines: map[string][]*message{}, rests: map[string]time.Duration{}, sent: map[attempt]sending{},
-		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{},
+		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{}, tables: map[int]table{},
 		out: map[string]bool{},
 	}
 	s.cfg.Fleet = max(cfg.Fleet, 1)
@@ -145,6 +147,7 @@
 		}
 		s.preempt()
 	}
+	s.giveBack()
 	s.arm()
 	return s.actions
 }
@@ -354,6 +357,9 @@
 	if s.stray(c, e) {
 		return
 	}
+	if s.tableSample(ep.dest.kind, e) > crowdedSign {
+		s.crowded[ep.dest.kind] = s.now + crowdedSpan
+	}
 	switch e.Outcome {
 	case Pass:
 		ep.usual, ep.shunRest = ease(ep.usual, took), 0
@@ -381,7 +387,7 @@
 		stuck := r.reported && r.limit == 0
 		if shut := e.Wait > shutWait; shut || stuck || r.sick {
 			s.failure(ep.dest, r, shut, true)
-		} else {
+		} else if e.Wait > 0 || e.Reused || s.now >= s.crowded[ep.dest.kind] { // else a full table's
 			s.cut(ep.dest, r)
 			if c := &ep.dest.claim; c.heardAt < c.askedAt {
 				c.allowed *= allowanceCut
@@ -396,7 +402,7 @@
 		s.failure(ep.dest, r, false, e.Outcome == ConnectFailed)
 	}
 	if c.left == 0 && e.Outcome != ConnectFailed && e.Outcome != NotSent {
-		s.giveBack(ep)
+		s.rested = append(s.rested, ep)
 	}
 }
 
@@ -412,12 +418,16 @@
 
 // giveBack closes idle connections that stand in other senders' way: an endpoint's table may be small, idle
 // ones counted, and a large fleet fills it. It acts where the connection would be closed before its next use
-// anyway, and at a kind where connects failed of late; there it costs handshakes while the sign lasts.
-func (s *Sender) giveBack(ep *endpoint) {
-	unused := s.cfg.ConnIdle > 0 && (ep.gap == 0 || ep.gap > seconds(s.cfg.ConnIdle))
-	if len(ep.dest.waiting) == 0 && (unused || s.now < s.crowded[ep.dest.kind]) {
-		s.do(HangUp{Endpoint: ep.id})
+// anyway, and at a kind where tables seem full: that costs handshakes while the sign lasts, and what waits
+// for its pace or a rest waits without a connection. One that this step's calls take is no idle one.
+func (s *Sender) giveBack() {
+	for _, ep := range s.rested {
+		rare := s.cfg.ConnIdle > 0 && (ep.gap == 0 || ep.gap > seconds(s.cfg.ConnIdle))
+		if ep.sentAt < s.now && (rare && len(ep.dest.waiting) == 0 || s.now < s.crowded[ep.dest.kind]) {
+			s.do(HangUp{Endpoint: ep.id})
+		}
 	}
+	s.rested = s.rested[:0]
 }
 
 // cut lowers this sender's part of the limit at a refusal. It knows its part by its own demand: whatever it
--- a/choice/state.go
+++ b/choice/state.go
@@ -22,6 +22,8 @@
 	lines   map[string][]*message
 	rests   map[string]time.Duration // keys at rest until then
 	crowded map[int]time.Duration    // connection tables of a kind seem full until then
+	tables  map[int]table            // by kind of destination
+	rested  []*endpoint              // whose connections may be idle since this step
 	tenants []tenant
 	busy    int                   // calls out
 	sent    map[attempt]sending   // attempts without an outcome
@@ -39,6 +41,10 @@
 	actions []Action
 }
 
+// table is what calls tell of the connection tables of a kind: the smoothed shares of those refused with no wait told,
+// New over connections that were opened for them and Kept over those that had stood idle.
+type table struct{ New, Kept float64 }
+
 type tenant struct {
 	tokens float64
 	at     time.Duration
