Remember up to 1,024 destinations over a restart

Cause: choice.maxRemembered was 256, and the file had 24 KiB (internal/node/learnt.go): with some 150 endpoints it was not kept at all, so that each restart there learnt everything anew.

Measured: 1,024 destinations with an endpoint each, names of 36 bytes and every value there take 177,124 bytes of 196,608 and come back (TestWhatWasLearntOfManyComesBack); with the cap as it was 256 came back, and the test failed.

--- a/choice/memory.go
+++ b/choice/memory.go
@@ -6,7 +6,7 @@
 )
 
 // maxRemembered bounds what a sender remembers of destinations; those that were mentioned first come first.
-const maxRemembered = 256
+const maxRemembered = 1024
 
 // Memory is what a sender has learnt and a new process of its node begins with. Times are ages when it was written.
 type Memory struct {
@@ -38,13 +38,13 @@
 		}
 		r := RememberedDest{ID: d.id}
 		if d.gate.seen {
-			r.Average, r.Baseline = d.gate.average, d.gate.baseline
+			r.Average, r.Baseline = rounded(d.gate.average), rounded(d.gate.baseline)
 		}
 		for _, e := range d.endpoints {
-			one := RememberedRoute{Endpoint: e.id, Response: e.response, Usual: e.usual, Sick: e.route.sick}
+			one := RememberedRoute{Endpoint: e.id, Response: rounded(e.response), Usual: rounded(e.usual), Sick: e.route.sick}
 			known := e.route
 			if f := known.fleet; f != nil {
-				known, one.Part, one.Sick = f, f.part, f.sick
+				known, one.Part, one.Sick = f, rounded(f.part), f.sick
 			}
 			if known.coldFrom > 0 {
 				one.Cold = max(s.now-known.coldFrom, 1)
@@ -56,6 +56,15 @@
 	return m
 }
 
+// rounded keeps what a new process can use of a figure: a tenth of a millisecond, or of a thousandth. What is there stays.
+func rounded(x float64) float64 {
+	const unit = 1e-4
+	if x <= 0 {
+		return x
+	}
+	return max(math.Round(x/unit), 1) / (1 / unit)
+}
+
 // recalled takes what an earlier process of the node has learnt, the older the less of it. What this one has learnt
 // itself stays.
 func (s *Sender) recalled(e Recalled) {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -101,7 +101,7 @@
 		}
 	}
 	known.Complete = true
-	n.learnt = newLearnt(n.cfg.State)
+	n.learnt = newLearnt(n.cfg)
 	n.pool = n.newPool()
 	n.messages, n.owed, n.acts, n.held = map[string]*journal.Message{}, nil, nil, 0
 	clear(n.eps)
--- a/internal/node/keptlist.go
+++ b/internal/node/keptlist.go
@@ -20,20 +20,20 @@
 	if c.Registry == nil || !c.Registry.Keep {
 		return 0
 	}
-	mb := float64(c.Limits.Disk)
-	if mb <= 0 {
-		mb = journal.DefaultDiskMB
+	return min(int64(diskMB(c)*(1<<20))/keepShare, listwatch.MaxKeptList)
+}
+
+// diskMB is the limit of the lasting folder.
+func diskMB(c config.Config) float64 {
+	if c.Limits.Disk <= 0 {
+		return journal.DefaultDiskMB
 	}
-	return min(int64(mb*(1<<20))/keepShare, listwatch.MaxKeptList)
+	return float64(c.Limits.Disk)
 }
 
 // journalMB is what the disk's limit leaves for the journal.
 func journalMB(c config.Config) float64 {
-	mb := float64(c.Limits.Disk)
-	if mb <= 0 {
-		mb = journal.DefaultDiskMB
-	}
-	mb -= 2 * float64(keptRoom(c)+learntRoom) / (1 << 20)
+	mb := diskMB(c) - 2*float64(keptRoom(c)+learntRoom(c))/(1<<20)
 	if c.Audit != nil {
 		mb -= float64(c.Audit.Record)
 	}
--- a/internal/node/learnt.go
+++ b/internal/node/learnt.go
@@ -11,11 +11,13 @@
 
 	"harrierramp/choice"
 	"harrierramp/internal/atomicfile"
+	"harrierramp/internal/config"
 )
 
 const (
 	learntName  = "learnt.json"
-	learntRoom  = 24 << 10        // for the file, and as much again while it is replaced
+	learntShare = 16              // the file may take this part of the disk, and as much again while it is replaced:
+	learntLeast = 24 << 10        // 192 KiB of 3 MB hold 1,024 destinations; but never less than this
 	learntPause = 2 * time.Second // between writes
 	learntLast  = 2 * time.Minute // older than this it is worth nothing
 )
@@ -24,7 +26,8 @@
 // destination anew in every node. Losing it loses only that. The loop owns it.
 type learnt struct {
 	path  string
-	dirty bool // calls have ended since the last write
+	room  int64 // for the file, in bytes
+	dirty bool  // calls have ended since the last write
 	next  time.Time
 }
 
@@ -35,7 +38,12 @@
 	Memory json.RawMessage `json:"memory"`
 }
 
-func newLearnt(dir string) *learnt { return &learnt{path: filepath.Join(dir, learntName)} }
+func newLearnt(c config.Config) *learnt {
+	return &learnt{path: filepath.Join(c.State, learntName), room: learntRoom(c)}
+}
+
+// learntRoom is the room of the file, in bytes.
+func learntRoom(c config.Config) int64 { return max(int64(diskMB(c)*(1<<20))/learntShare, learntLeast) }
 
 // read returns what was written and how long ago; ok is false where there is nothing that can be used.
 func (l *learnt) read(now time.Time) (e choice.Recalled, ok bool, err error) {
@@ -71,8 +79,8 @@
 	if err != nil {
 		return fmt.Errorf("learnt: %w", err)
 	}
-	if len(raw) > learntRoom {
-		return fmt.Errorf("learnt: %d bytes, and room for %d", len(raw), learntRoom)
+	if int64(len(raw)) > l.room {
+		return fmt.Errorf("learnt: %d bytes, and room for %d", len(raw), l.room)
 	}
 	return atomicfile.Replace(l.path, raw)
 }
--- a/internal/node/learnt_test.go
+++ b/internal/node/learnt_test.go
@@ -8,12 +8,13 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/config"
 )
 
 // What was learnt comes back as it was, with its age; what is cut, flipped, old or from the future does not, and nothing
 // is larger than its room.
 func TestWhatWasLearntComesBack(t *testing.T) {
-	l, now := newLearnt(t.TempDir()), time.UnixMilli(time.Now().UnixMilli())
+	l, now := newLearnt(config.Config{State: t.TempDir()}), time.UnixMilli(time.Now().UnixMilli())
 	if _, ok, err := l.read(now); ok || err != nil {
 		t.Fatalf("nothing was written: %v, %v", ok, err)
 	}
@@ -52,10 +53,40 @@
 			t.Fatalf("cut at %d, and used", i)
 		}
 	}
-	for i := range 300 {
+	for i := range int(l.room/100) + 1 {
 		want.Dests = append(want.Dests, choice.RememberedDest{ID: i, Routes: []choice.RememberedRoute{{Endpoint: strings.Repeat("x", 100)}}})
 	}
 	if err := l.write(want, now); err == nil {
 		t.Error("more than its room is written")
 	}
 }
+
+// What a sender has learnt of 1,024 destinations with an endpoint each, of long names and with every value there, has room on
+// the disk that the platform gives, and comes back.
+func TestWhatWasLearntOfManyComesBack(t *testing.T) {
+	cfg := choice.Settings{Classes: []choice.Class{{Deadline: time.Minute}}, Slots: 2000, MaxOpen: 4000, Weighted: true}
+	s := choice.New(cfg, 1)
+	var listed choice.Listed
+	var came, ended []choice.Event
+	for i := range 1024 {
+		name := fmt.Sprintf("%036d", i)
+		listed.Entries = append(listed.Entries, choice.Entry{Endpoint: name, Dest: i, Weight: 100})
+		came = append(came, choice.Arrived{ID: name, Dest: i, DropDead: time.Hour + time.Minute})
+		ended = append(ended, choice.Ended{ID: name, Endpoint: name, Took: time.Second / 7, Closed: true})
+	}
+	s.Step(time.Hour, append([]choice.Event{listed}, came...))
+	s.Step(time.Hour+time.Second/7, ended)
+	l := newLearnt(config.Config{State: t.TempDir()})
+	if err := l.write(s.Remember(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	got, ok, err := l.read(time.Now())
+	if err != nil || !ok || len(got.Dests) != 1024 || got.Dests[1023].Average == 0 || got.Dests[1023].Routes[0].Usual == 0 {
+		t.Errorf("%d destinations, %v, %v", len(got.Dests), ok, err)
+	}
+	if info, err := os.Stat(l.path); err != nil {
+		t.Error(err)
+	} else {
+		t.Logf("%d bytes of %d", info.Size(), l.room)
+	}
+}
--- a/internal/node/listservice_test.go
+++ b/internal/node/listservice_test.go
@@ -101,8 +101,8 @@
 				all = journal.DefaultDiskMB
 			}
 			keeps := service != nil && service.Keep
-			if sum := journalMB(c) + 2*float64(keptRoom(c)+learntRoom)/(1<<20); sum != all || keeps != (keptRoom(c) > 0) || keeps != (keptList(c) != nil) {
-				t.Errorf("%v MB: %v for the journal and twice %d and %d bytes", mb, journalMB(c), keptRoom(c), learntRoom)
+			if sum := journalMB(c) + 2*float64(keptRoom(c)+learntRoom(c))/(1<<20); sum != all || keeps != (keptRoom(c) > 0) || keeps != (keptList(c) != nil) {
+				t.Errorf("%v MB: %v for the journal and twice %d and %d bytes", mb, journalMB(c), keptRoom(c), learntRoom(c))
 			}
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,7 +138,7 @@
 // New makes a node that Run brings to life. Its folder must be the node's alone.
 func New(cfg config.Config, log *slog.Logger) *Node {
 	if cfg.Registry != nil {
-		_, remembers, err := newLearnt(cfg.State).read(time.Now())
+		_, remembers, err := newLearnt(cfg).read(time.Now())
 		cfg.Settings.Cautious = !remembers || err != nil
 	}
 	n := &Node{
