Hand out no more of a cold budget than the part that a keeper has of the limit

Cause: who loses notes goes to the next keeper in rank, and each of them handed out the whole cold budget (account.go, sure), whatever part of the limit it had begun with; and a part grew back to all of it with the passes of the recovery itself.

--- a/choice/account.go
+++ b/choice/account.go
@@ -191,14 +191,15 @@
 	}
 }
 
-// sure is the share of the cold budget that a keeper hands out: all of it, or where the fleet may just have begun the part
-// that it has of the limit, but for a quarter, which is for those who hear no keeper and go by their allowance. Over all
-// that may believe themselves keeper the parts add up to less than one.
+// sure is the share of the cold budget that a keeper hands out: the part that it has of the limit, which does not grow
+// meanwhile; where the fleet may just have begun all but a quarter of it, which is for those who hear no keeper and go by
+// their allowance. The ranks begin with all, a half, a quarter and an eighth, so that all who may believe themselves keeper
+// have less than twice the budget together, and all of it where none has been lost sight of.
 func (s *Sender) sure(r *route) float64 {
 	if s.cfg.Cautious {
 		return 0.75 * r.part
 	}
-	return 1
+	return min(r.part, 1)
 }
 
 // best is the most that the route has passed in a second.
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -20,13 +20,15 @@
 	seq     int
 	wakes   []time.Duration
 
-	limit, level         float64 // calls a second, and how many of them are free now
+	limit, level, weight float64 // calls a second, how many of them are free now, and what the list says
 	filled               time.Duration
 	spans                bool // the limit is a count in each second
 	down                 bool
 	odd                  float64      // share of the calls that are refused whatever the limit
 	old                  map[int]bool // senders whose list names an endpoint that is gone
 	passed, full, failed int
+	calls                []madeCall
+	met                  map[int]bool // senders that called while it was down
 	answered             map[string]bool
 	attempts             map[string]int
 	lose, repeat         float64
@@ -34,6 +36,11 @@
 	cut                  func(from, to int) bool
 }
 
+type madeCall struct {
+	at time.Duration
+	by int
+}
+
 type happening struct {
 	at  time.Duration
 	seq int
@@ -62,7 +69,7 @@
 	cfg.Fleet, cfg.MayTell, cfg.MaxAttempts = senders, tell, 12
 	w := &fleetWorld{
 		t: t, cfg: cfg, senders: make([]*Sender, senders), now: time.Hour, rng: rand.New(rand.NewPCG(7, 7)),
-		wakes: make([]time.Duration, senders), limit: fleetLimit, filled: time.Hour, answered: map[string]bool{},
+		wakes: make([]time.Duration, senders), limit: fleetLimit, weight: fleetLimit, filled: time.Hour, answered: map[string]bool{}, met: map[int]bool{},
 		attempts: map[string]int{},
 	}
 	for i := range senders {
@@ -76,7 +83,7 @@
 	cfg.Number = i
 	w.senders[i] = New(cfg, w.rng.Uint64())
 	w.wakes[i] = 0
-	w.step(i, list(Entry{Endpoint: w.endpoint(i), Weight: fleetLimit}))
+	w.step(i, list(Entry{Endpoint: w.endpoint(i), Weight: w.weight}))
 }
 
 func (w *fleetWorld) endpoint(i int) string {
@@ -102,7 +109,7 @@
 		case Send:
 			n := w.attempts[a.ID]
 			w.attempts[a.ID]++
-			o, took := w.call(a.Endpoint)
+			o, took := w.call(i, a.Endpoint)
 			if left := a.NotPast - w.now; took > left {
 				o, took = TimedOut, left
 			}
@@ -152,7 +159,11 @@
 }
 
 // call is what the partner makes of a call now.
-func (w *fleetWorld) call(endpoint string) (Outcome, time.Duration) {
+func (w *fleetWorld) call(by int, endpoint string) (Outcome, time.Duration) {
+	w.calls = append(w.calls, madeCall{w.now, by})
+	if w.down {
+		w.met[by] = true
+	}
 	if w.down || endpoint == "gone" {
 		w.failed++
 		return ConnectFailed, 30 * ms
