Share a cold budget by the ranks of keepers alone, and see a kept connection before tables count

Cause: the part of the first keeper, lowered by refusals before an outage, bound its budget, and was kept from growing back.

Change: a keeper hands out what its rank begins with, whatever its part is by now, and parts grow as before.

--- a/choice/account.go
+++ b/choice/account.go
@@ -71,8 +71,9 @@
 }
 
 // tableSample takes a call's outcome into what is known of the connection tables of a kind, and returns by how much more
-// of the calls over new connections are refused than of those over kept ones. A limit refuses both alike; a full table
-// refuses the new ones, and those that are kept idle fill it. A refusal that tells a wait is a limit's, or a shut door's.
+// of the calls over new connections are refused than of those over kept ones; 0 before one of these has been seen. A limit
+// refuses both alike; a full table refuses the new ones, and those that are kept idle fill it. A refusal that tells a
+// wait is a limit's, or a shut door's.
 func (s *Sender) tableSample(kind int, e Ended) float64 {
 	t, refused := s.tables[kind], 0.0
 	if e.Outcome == Rejected {
@@ -82,10 +83,13 @@
 	case e.Outcome != Pass && (e.Outcome != Rejected || e.Wait > 0):
 	case e.Reused:
 		t.Kept += tableWeight * (refused - t.Kept)
+		t.Seen = true
 	default:
 		t.New += tableWeight * (refused - t.New)
 	}
-	s.tables[kind] = t
+	if s.tables[kind] = t; !t.Seen {
+		return 0
+	}
 	return t.New - t.Kept
 }
 
@@ -168,6 +172,7 @@
 		e.route.fleet = newRoute()
 		e.route.fleet.whole = true
 		e.route.fleet.part, e.route.fleet.partAt = s.beginAt(e.dest), s.now
+		e.route.fleet.begins = e.route.fleet.part
 	}
 	e.route.fleet.weight = e.route.weight
 	if fresh {
@@ -191,15 +196,15 @@
 	}
 }
 
-// sure is the share of the cold budget that a keeper hands out: the part that it has of the limit, which does not grow
-// meanwhile; where the fleet may just have begun all but a quarter of it, which is for those who hear no keeper and go by
-// their allowance. The ranks begin with all, a half, a quarter and an eighth, so that all who may believe themselves keeper
-// have less than twice the budget together, and all of it where none has been lost sight of.
+// sure is the share of the cold budget that a keeper hands out: what its rank begins with, all, a half, a quarter or an
+// eighth, so that all who may believe themselves keeper hand out less than twice the budget together, and one that all hear
+// the whole of it. Where the fleet may just have begun it is the part that it has of the limit, but for a quarter, which is
+// for those who hear no keeper and go by their allowance.
 func (s *Sender) sure(r *route) float64 {
 	if s.cfg.Cautious {
 		return 0.75 * r.part
 	}
-	return min(r.part, 1)
+	return r.begins
 }
 
 // best is the most that the route has passed in a second.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -513,9 +513,6 @@
 	if r.whole && r.full < fullCut/4 { // not too much, it seems: who took a limit over soon has all of it
 		grow = takeOverGrow
 	}
-	if r.whole && r.recovering() {
-		grow = 0
-	}
 	r.part = min(1, r.part+grow*max(r.part, s.even(r))*min(most, seconds(s.now-r.partAt)))
 	r.partAt = s.now
 	switch {
--- a/choice/state.go
+++ b/choice/state.go
@@ -42,8 +42,11 @@
 }
 
 // table is what calls tell of the connection tables of a kind: the smoothed shares of those refused with no wait told,
-// New over connections that were opened for them and Kept over those that had stood idle.
-type table struct{ New, Kept float64 }
+// New over connections that were opened for them and Kept over those that had stood idle, of which one has been Seen.
+type table struct {
+	New, Kept float64
+	Seen      bool
+}
 
 type tenant struct {
 	tokens float64
@@ -158,6 +161,7 @@
 	full        float64       // smoothed share of calls refused over the limit, there
 	cutAt       time.Duration // last cut for refusals, where it stands for all senders
 	whole       bool          // it stands for the calls of all senders
+	begins      float64       // the part of its limit that its keeper began with, there
 	fleet       *route        // the same route as its keeper knows it
 }
 
