Test the watcher with the pauses that the node gives it

The tests of silent watches wrote an agent's pauses, 50 to 250 ms, out by themselves in three places. They now take AgentPauses, as the node does, so that a change of the pauses is held to what they assert. Assertions and figures are as before; the package's tests pass.

--- a/internal/listwatch/follow_test.go
+++ b/internal/listwatch/follow_test.go
@@ -17,7 +17,6 @@
 	"testing/synctest"
 	"time"
 
-	"harrierramp/internal/backoff"
 	"harrierramp/internal/testkit"
 )
 
@@ -217,7 +216,7 @@
 	began := time.Now()
 	w := Watcher{
 		Log: slog.New(slog.DiscardHandler), Client: client, At: NewAddresses([]string{"agent"}), Patience: AgentPatience,
-		Pause: backoff.Backoff{First: 50 * time.Millisecond, Last: 250 * time.Millisecond}, Heard: func() {}, Turned: func() {},
+		Pause: AgentPauses(), Heard: func() {}, Turned: func() {},
 		Tell: func(l List) { told = append(told, fmt.Sprint(l.Revision, " ", time.Since(began).Round(time.Second/2))) },
 	}
 	w.Run(ctx, after)
@@ -249,7 +248,7 @@
 			defer cancel()
 			w := Watcher{
 				Log: slog.New(slog.DiscardHandler), Client: agent(says(0, listHead, list(1)), up), At: NewAddresses([]string{"agent"}),
-				Patience: AgentPatience, Pause: backoff.Backoff{First: 50 * time.Millisecond, Last: 250 * time.Millisecond},
+				Patience: AgentPatience, Pause: AgentPauses(),
 				Heard: func() {}, Turned: func() {}, Tell: func(l List) {
 					if l.Revision == 2 {
 						at = time.Since(began)
@@ -315,7 +314,7 @@
 		var told []int64
 		w := Watcher{
 			Log: slog.New(slog.DiscardHandler), Client: client, At: at, Patience: AgentPatience,
-			Pause: backoff.Backoff{First: 50 * time.Millisecond, Last: 250 * time.Millisecond}, Heard: func() {}, Turned: func() {},
+			Pause: AgentPauses(), Heard: func() {}, Turned: func() {},
 			Tell: func(l List) {
 				if told = append(told, l.Revision); l.Revision == 5 {
 					at.Move([]string{"new"})
