Make system calls of a real process fail by a seccomp filter that it sets on itself

The incident happened while system calls or writes failed for a moment. So far tests could only bound the size of a process's files; failing sockets, accepts, opens, renames, short reads and writes, and a kill inside a write could not be forced on a real node, since Go makes its calls without the C library.

internal/lab/sysfault filters chosen calls of one process and decides on each by its number, path and size: go on, fail with an errno, transfer fewer bytes, or kill. Ruled out: LD_PRELOAD (not seen by Go's calls), ptrace (stops every thread at every call), limits of the process (only EFBIG and EMFILE).

--- /dev/null
+++ b/internal/lab/sysfault/injector.go
@@ -0,0 +1,190 @@
+package sysfault
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	pollMilliseconds = 100
+	longestPath      = 4096
+)
+
+// notification is the kernel's struct seccomp_notif.
+type notification struct {
+	id    uint64
+	pid   uint32
+	flags uint32
+	data  struct {
+		number             int32
+		arch               uint32
+		instructionPointer uint64
+		args               [6]uint64
+	}
+}
+
+// response is the kernel's struct seccomp_notif_resp.
+type response struct {
+	id    uint64
+	value int64
+	errno int32
+	flags uint32
+}
+
+// Injector answers the notifications of one process's filter.
+type Injector struct {
+	listener, pidfd, pid int
+	decide               func(Call) Verdict
+	done                 chan struct{}
+}
+
+// Done is closed when the process has ended.
+func (in *Injector) Done() <-chan struct{} { return in.done }
+
+func (in *Injector) run() {
+	defer close(in.done)
+	defer unix.Close(in.pidfd)
+	defer unix.Close(in.listener)
+	for {
+		ready := []unix.PollFd{{Fd: int32(in.listener), Events: unix.POLLIN}}
+		if _, err := unix.Poll(ready, pollMilliseconds); err != nil && !errors.Is(err, unix.EINTR) {
+			return
+		}
+		if ready[0].Revents&unix.POLLIN == 0 {
+			if ready[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0 {
+				return
+			}
+			continue
+		}
+		var n notification
+		if !in.control(unix.SECCOMP_IOCTL_NOTIF_RECV, unsafe.Pointer(&n)) {
+			continue // the thread was killed meanwhile
+		}
+		r := in.answer(&n)
+		in.control(unix.SECCOMP_IOCTL_NOTIF_SEND, unsafe.Pointer(&r))
+	}
+}
+
+func (in *Injector) control(request uint, argument unsafe.Pointer) bool {
+	_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(in.listener), uintptr(request), uintptr(argument))
+	return errno == 0
+}
+
+// answer decides on a call and carries out what the kernel can't: a transfer of fewer bytes, and the end of the process.
+func (in *Injector) answer(n *notification) response {
+	r := response{id: n.id, flags: unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE}
+	c := in.call(n)
+	v := in.decide(c)
+	if v.Most > 0 && v.Most < c.Size {
+		if moved, errno, ok := in.transfer(n, v.Most); ok {
+			r.flags, r.value, r.errno = 0, int64(moved), -int32(errno)
+		}
+	}
+	if v.Kill {
+		unix.PidfdSendSignal(in.pidfd, unix.SIGKILL, nil, 0) // an error means that it has ended
+		r.flags, r.errno = 0, -int32(unix.EIO)
+	}
+	if v.Errno != 0 {
+		r.flags, r.value, r.errno = 0, 0, -int32(v.Errno)
+	}
+	return r
+}
+
+func (in *Injector) call(n *notification) Call {
+	c := Call{Number: int(n.data.number)}
+	args := n.data.args
+	switch c.Number {
+	case unix.SYS_OPENAT, unix.SYS_UNLINKAT:
+		c.Path = in.text(uintptr(args[1]))
+	case unix.SYS_RENAMEAT:
+		c.Path = in.text(uintptr(args[3]))
+	case unix.SYS_READ, unix.SYS_WRITE, unix.SYS_PREAD64, unix.SYS_PWRITE64:
+		c.Size = int(args[2])
+		fallthrough
+	case unix.SYS_FTRUNCATE, unix.SYS_FSYNC, unix.SYS_FDATASYNC:
+		path, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", in.pid, int32(args[0])))
+		if err != nil {
+			break // closed meanwhile
+		}
+		if c.Socket = strings.HasPrefix(path, "socket:"); !c.Socket {
+			c.Path = path
+		}
+	}
+	return c
+}
+
+// text reads a path from the process's memory.
+func (in *Injector) text(at uintptr) string {
+	b := make([]byte, longestPath)
+	n, err := unix.ProcessVMReadv(in.pid, vector(b), []unix.RemoteIovec{{Base: at, Len: len(b)}}, 0)
+	if err != nil {
+		// The page behind the path may not be there.
+		rest := os.Getpagesize() - int(at)%os.Getpagesize()
+		n, err = unix.ProcessVMReadv(in.pid, vector(b), []unix.RemoteIovec{{Base: at, Len: min(rest, len(b))}}, 0)
+	}
+	if err != nil {
+		return ""
+	}
+	path, _, _ := strings.Cut(string(b[:n]), "\x00")
+	return path
+}
+
+func vector(b []byte) []unix.Iovec {
+	v := []unix.Iovec{{Base: &b[0]}}
+	v[0].SetLen(len(b))
+	return v
+}
+
+// transfer reads or writes at most so many bytes in the process's place; ok is false where that can't be done.
+func (in *Injector) transfer(n *notification, most int) (moved int, errno syscall.Errno, ok bool) {
+	args := n.data.args
+	fd, err := unix.PidfdGetfd(in.pidfd, int(int32(args[0])), 0)
+	if err != nil {
+		return 0, 0, false
+	}
+	defer unix.Close(fd)
+	b := make([]byte, most)
+	remote := []unix.RemoteIovec{{Base: uintptr(args[1]), Len: most}}
+	number := int(n.data.number)
+	if number == unix.SYS_WRITE || number == unix.SYS_PWRITE64 {
+		if got, err := unix.ProcessVMReadv(in.pid, vector(b), remote, 0); err != nil || got != most {
+			return 0, 0, false
+		}
+	}
+	switch number {
+	case unix.SYS_READ:
+		moved, err = unix.Read(fd, b)
+	case unix.SYS_PREAD64:
+		moved, err = unix.Pread(fd, b, int64(args[3]))
+	case unix.SYS_WRITE:
+		moved, err = unix.Write(fd, b)
+	case unix.SYS_PWRITE64:
+		moved, err = unix.Pwrite(fd, b, int64(args[3]))
+	default:
+		return 0, 0, false
+	}
+	if err != nil {
+		failed, _ := errors.AsType[syscall.Errno](err)
+		return 0, failed, true
+	}
+	if moved > 0 && (number == unix.SYS_READ || number == unix.SYS_PREAD64) {
+		if !in.write(b[:moved], uintptr(args[1])) {
+			return 0, unix.EFAULT, true
+		}
+	}
+	return moved, 0, true
+}
+
+// write puts bytes into the process's memory.
+func (in *Injector) write(b []byte, at uintptr) bool {
+	local, remote := vector(b), unix.RemoteIovec{Base: at, Len: len(b)}
+	n, _, errno := unix.Syscall6(unix.SYS_PROCESS_VM_WRITEV, uintptr(in.pid), uintptr(unsafe.Pointer(&local[0])), 1,
+		uintptr(unsafe.Pointer(&remote)), 1, 0)
+	return errno == 0 && int(n) == len(b)
+}
