--- /dev/null
+++ b/cmd/harrierramp/faultnode_test.go
@@ -0,0 +1,394 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"harrierramp/internal/lab/sysfault"
+	"harrierramp/internal/testkit"
+)
+
+const (
+	restartPause = 600 * time.Millisecond  // from SIGKILL to the next start
+	leaveTime    = 3700 * time.Millisecond // from SIGTERM to SIGKILL
+	startTime    = 10 * time.Second        // to be ready
+)
+
+// faultyNode is a real process on loopback whose system calls a schedule decides on. It starts again after it has ended.
+type faultyNode struct {
+	t      *testing.T
+	config string
+	state  string
+	addr   string
+	log    string
+	decide func(sysfault.Call) sysfault.Verdict
+	ledger *faultLedger
+
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	injector *sysfault.Injector
+	ended    chan error
+}
+
+// newFaultyNode prepares a node for the platform's stand-in, and starts it.
+func newFaultyNode(t *testing.T, p *platform, state, settings string, decide func(sysfault.Call) sysfault.Verdict, l *faultLedger) *faultyNode {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	if err := ln.Close(); err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	n := &faultyNode{t: t, config: filepath.Join(dir, "config.json"), state: state, addr: addr, log: filepath.Join(dir, "log"), decide: decide, ledger: l}
+	n.configure(p.addr(), p.list(), settings)
+	n.start()
+	t.Cleanup(func() { n.kill() })
+	return n
+}
+
+// configure replaces the node's configuration.
+func (n *faultyNode) configure(discovery, list, settings string) {
+	n.t.Helper()
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":128,"sockets":512,"disk_mb":3},
+		"known":%s,"settings":%s}`, n.addr, discovery, list, settings)
+	if err := os.WriteFile(n.config+".new", []byte(text), 0o600); err != nil {
+		n.t.Fatal(err)
+	}
+	if err := os.Rename(n.config+".new", n.config); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
+// start starts the process and waits until it answers PING.
+func (n *faultyNode) start() {
+	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		n.t.Error(err)
+		return
+	}
+	defer log.Close()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), childEnv+"=1", "ROUTER_CONFIG="+n.config, "ROUTER_STATE="+n.state, "HARRIERRAMP_LOG_LEVEL=debug",
+		"GORACE=atexit_sleep_ms=0", "GOMAXPROCS=2")
+	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	n.mu.Lock()
+	n.injector, err = sysfault.Start(cmd, n.decide)
+	if err != nil {
+		n.mu.Unlock()
+		n.t.Errorf("the node does not start: %v", err)
+		return
+	}
+	ended := make(chan error, 1)
+	n.cmd, n.ended = cmd, ended
+	n.mu.Unlock()
+	go func() { ended <- cmd.Wait() }()
+	for began := time.Now(); !n.answers(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(began) > startTime {
+			n.ledger.breaks("crash", "not ready %v after its start", startTime)
+			return
+		}
+		select {
+		case err := <-ended:
+			n.ledger.breaks("crash", "it ended at its start: %v", err)
+			ended <- err
+			return
+		default:
+		}
+	}
+	n.ledger.ready()
+}
+
+func (n *faultyNode) answers() bool {
+	nc, err := net.DialTimeout("tcp", n.addr, 100*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	defer nc.Close()
+	if nc.SetDeadline(time.Now().Add(time.Second)) != nil {
+		return false
+	}
+	if _, err := io.WriteString(nc, testkit.Resp("PING")); err != nil {
+		return false
+	}
+	line, err := bufio.NewReader(nc).ReadString('\n')
+	return err == nil && strings.HasPrefix(line, "+PONG")
+}
+
+// kill ends the process at once.
+func (n *faultyNode) kill() {
+	n.mu.Lock()
+	cmd, ended, injector := n.cmd, n.ended, n.injector
+	n.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	cmd.Process.Kill() // an error means that it has ended
+	ended <- <-ended
+	<-injector.Done()
+}
+
+// running tells whether the process is there.
+func (n *faultyNode) running() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case err := <-n.ended:
+		n.ended <- err
+		return false
+	default:
+		return true
+	}
+}
+
+// restart ends the process, by SIGTERM first if it is asked to, and starts it again. Its folder stays.
+func (n *faultyNode) restart(leaves bool) {
+	n.ledger.down()
+	if leaves {
+		n.mu.Lock()
+		err := n.cmd.Process.Signal(syscall.SIGTERM)
+		n.mu.Unlock()
+		if err != nil && !errors.Is(err, os.ErrProcessDone) {
+			n.t.Error(err)
+		}
+		time.Sleep(leaveTime)
+	}
+	n.kill()
+	time.Sleep(restartPause)
+	n.start()
+}
+
+// platform stands in for discovery: a list that does not change, and reports of final answers.
+type platform struct {
+	srv     *httptest.Server
+	ledger  *faultLedger
+	members []string
+}
+
+func newPlatform(t *testing.T, l *faultLedger, members []string) *platform {
+	t.Helper()
+	p := &platform{ledger: l, members: members}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, p.list())
+		if r.FormValue("watch") == "" {
+			return
+		}
+		tick := time.NewTicker(2 * time.Second)
+		defer tick.Stop()
+		for {
+			w.(http.Flusher).Flush()
+			select {
+			case <-tick.C:
+				fmt.Fprintln(w)
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	mux.HandleFunc("POST /reports", func(w http.ResponseWriter, r *http.Request) {
+		lines := bufio.NewScanner(r.Body)
+		for lines.Scan() {
+			var notice struct{ ID, State string }
+			if err := json.Unmarshal(lines.Bytes(), &notice); err != nil {
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
+			l.noticed(notice.ID, notice.State)
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	p.srv = httptest.NewServer(mux)
+	t.Cleanup(func() {
+		p.srv.CloseClientConnections()
+		p.srv.Close()
+	})
+	return p
+}
+
+func (p *platform) addr() string { return p.srv.Listener.Addr().String() }
+
+func (p *platform) list() string {
+	return fmt.Sprintf(`{"revision":1,"complete":true,"members":[%s]}`, strings.Join(p.members, ","))
+}
+
+// member is an endpoint's entry in the list.
+func member(id, addr string, dest int) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"z","flavor":"m","cell":%d,"phase":"SERVING","size":1000}`, id, addr, dest)
+}
+
+// reply is how an endpoint answers one call.
+type reply int
+
+const (
+	replyDelivered reply = iota
+	replySlowly
+	replyError
+	replyRefusal
+	replyReset
+	replyNever
+)
+
+const slowReply = 300 * time.Millisecond
+
+// newFaultEndpoint is an endpoint whose answers choose decides.
+func newFaultEndpoint(t *testing.T, l *faultLedger, choose func() reply) string {
+	return testkit.NewPartner(t, func(nc net.Conn, req *http.Request) bool {
+		id, how := req.Header.Get("X-Trace-Id"), choose()
+		l.called(id, how != replyRefusal)
+		switch how {
+		case replySlowly:
+			time.Sleep(slowReply)
+			fallthrough
+		case replyDelivered:
+			_, err := io.WriteString(nc, testkit.Delivered)
+			if err == nil {
+				l.delivered(id)
+			}
+			return err == nil
+		case replyError:
+			_, err := io.WriteString(nc, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+			return err == nil
+		case replyRefusal:
+			_, err := io.WriteString(nc, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			return err == nil
+		case replyReset:
+			nc.(*net.TCPConn).SetLinger(0)
+			return false
+		default:
+			return testkit.Silent(nc, req)
+		}
+	}).Addr()
+}
+
+// fault is a span of the play in which some system calls fail.
+type fault struct {
+	name     string
+	from, to time.Duration
+	decide   func(sysfault.Call, *rand.Rand) sysfault.Verdict
+	met      int // calls that it has struck
+}
+
+// schedule decides on a node's calls by the faults of a play.
+type schedule struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	began  time.Time
+	faults []*fault
+	kill   bool // in the next write to the folder
+}
+
+func (s *schedule) decide(c sysfault.Call) sysfault.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Since(s.began)
+	if s.kill && writesFile(c) && c.Size > 1 {
+		s.kill = false
+		return sysfault.Verdict{Most: 1 + s.rng.IntN(c.Size-1), Kill: true}
+	}
+	for _, f := range s.faults {
+		if at < f.from || at >= f.to {
+			continue
+		}
+		if v := f.decide(c, s.rng); v != (sysfault.Verdict{}) {
+			f.met++
+			return v
+		}
+	}
+	return sysfault.Verdict{}
+}
+
+// killInWrite has the next write to the folder torn by a kill.
+func (s *schedule) killInWrite(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kill = on
+}
+
+// stateDirectory is a part of the path of every folder that lasts.
+const stateDirectory = "lasting-state"
+
+func ofState(c sysfault.Call) bool { return strings.Contains(c.Path, stateDirectory) }
+
+func writesFile(c sysfault.Call) bool {
+	return ofState(c) && (c.Number == unix.SYS_WRITE || c.Number == unix.SYS_PWRITE64)
+}
+
+// fails has calls of some numbers fail with any of some errors.
+func fails(strikes func(sysfault.Call) bool, errnos ...syscall.Errno) func(sysfault.Call, *rand.Rand) sysfault.Verdict {
+	return func(c sysfault.Call, rng *rand.Rand) sysfault.Verdict {
+		if !strikes(c) {
+			return sysfault.Verdict{}
+		}
+		return sysfault.Verdict{Errno: errnos[rng.IntN(len(errnos))]}
+	}
+}
+
+func numbered(numbers ...int) func(sysfault.Call) bool {
+	return func(c sysfault.Call) bool {
+		for _, n := range numbers {
+			if c.Number == n {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func onState(numbers ...int) func(sysfault.Call) bool {
+	is := numbered(numbers...)
+	return func(c sysfault.Call) bool { return ofState(c) && is(c) }
+}
+
+// tornWrites has the first write to the folder stop half way, and it and all others fail.
+func tornWrites(truncates bool, errno syscall.Errno) func(sysfault.Call, *rand.Rand) sysfault.Verdict {
+	torn := false
+	return func(c sysfault.Call, rng *rand.Rand) sysfault.Verdict {
+		switch {
+		case writesFile(c) && !torn && c.Size > 1:
+			torn = true
+			return sysfault.Verdict{Most: c.Size - 1 - rng.IntN(c.Size/2)}
+		case writesFile(c), !truncates && onState(unix.SYS_FTRUNCATE)(c):
+			return sysfault.Verdict{Errno: errno}
+		}
+		return sysfault.Verdict{}
+	}
+}
+
+// interrupted has a third of the calls that may be interrupted fail so.
+func interrupted(c sysfault.Call, rng *rand.Rand) sysfault.Verdict {
+	may := c.Socket || numbered(unix.SYS_ACCEPT4, unix.SYS_CONNECT)(c) || onState(unix.SYS_OPENAT, unix.SYS_FTRUNCATE, unix.SYS_READ,
+		unix.SYS_WRITE, unix.SYS_PREAD64, unix.SYS_PWRITE64)(c)
+	if may && rng.IntN(3) == 0 {
+		return sysfault.Verdict{Errno: syscall.EINTR}
+	}
+	return sysfault.Verdict{}
+}
+
+// short has reads and writes transfer a part of what they ask for.
+func short(c sysfault.Call, rng *rand.Rand) sysfault.Verdict {
+	if (c.Socket || ofState(c)) && c.Size > 1 && rng.IntN(2) == 0 {
+		return sysfault.Verdict{Most: 1 + rng.IntN(min(c.Size-1, 64))}
+	}
+	return sysfault.Verdict{}
+}
--- a/cmd/harrierramp/main_test.go
+++ b/cmd/harrierramp/main_test.go
@@ -18,12 +18,18 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"harrierramp/internal/lab/sysfault"
 )
 
 const childEnv = "TEST_CHILD_OF_HARRIERRAMP"
 
 // TestMain is the node itself when a test starts this binary as a child.
 func TestMain(m *testing.M) {
+	if sysfault.Requested() {
+		fmt.Fprintln(os.Stderr, sysfault.Exec("/proc/self/exe", os.Args))
+		os.Exit(1)
+	}
 	if os.Getenv(childEnv) != "" {
 		main() // exits
 	}
