--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -328,13 +328,30 @@
 // Flush writes what is queued. On an error nothing that the queued records guard may be done. What is live
 // stays true all the same, and goes to a new file as soon as one can be written.
 func (j *Journal) Flush() error {
-	if len(j.pending) == 0 && !j.broken {
+	if j.broken {
+		return j.recover()
+	}
+	if len(j.pending) == 0 {
 		return nil
 	}
 	after := j.written + int64(len(j.pending))
-	if j.broken || after+j.held > j.budget || (after > minCompact && after > 4*j.held) {
-		return j.compact()
+	full := after+j.held > j.budget
+	if full || (after > minCompact && after > 4*j.held) {
+		err := j.compact()
+		if err == nil {
+			return nil
+		}
+		if full {
+			j.giveUp()
+			return err
+		}
+		// There is room to append for now.
 	}
+	return j.append(after)
+}
+
+// append writes what is queued to the end of the file, which then holds after bytes.
+func (j *Journal) append(after int64) error {
 	began := time.Now()
 	_, err := j.f.WriteAt(j.pending, j.written)
 	if j.Appended != nil {
@@ -342,7 +359,7 @@
 	}
 	if err != nil {
 		// Whole records of what is not going to be done must not be found at the next start.
-		j.pending, j.broken = nil, true
+		j.giveUp()
 		return fmt.Errorf("journal: %w", errors.Join(err, j.rewind()))
 	}
 	j.written = after
@@ -350,19 +367,30 @@
 	return nil
 }
 
+// giveUp drops what is queued: only a new file can hold what is live.
+func (j *Journal) giveUp() { j.pending, j.broken = nil, true }
+
+// recover writes the new file that a broken journal needs. What has been queued meanwhile is live, and so in it.
+func (j *Journal) recover() error {
+	j.pending = nil
+	return j.compact()
+}
+
 // rewind cuts off whatever stands behind the last whole record.
 func (j *Journal) rewind() error {
 	return j.f.Truncate(j.written)
 }
 
-// compact writes what is live, queued records included, to a new file that takes the old one's place.
+// compact writes what is live, queued records included, to a new file that takes the old one's place. After an error the
+// old one stands, and compact fails at once for CompactPause: a full disk should not have all that is live written to it
+// again and again.
 func (j *Journal) compact() (err error) {
 	if time.Now().Before(j.retryAt) {
 		return errJournalDown
 	}
 	defer func() {
-		if err != nil { // a full disk should not have all that is live written to it again and again
-			j.pending, j.broken, j.retryAt = nil, true, time.Now().Add(CompactPause)
+		if err != nil {
+			j.retryAt = time.Now().Add(CompactPause)
 		}
 	}()
 	f, err := os.OpenFile(j.path()+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
@@ -374,8 +402,22 @@
 			err = errors.Join(fmt.Errorf("journal: compaction: %w", err), f.Close(), os.Remove(f.Name()))
 		}
 	}()
+	size, err := j.writeLive(f)
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(f.Name(), j.path()); err != nil {
+		return err
+	}
+	old := j.f
+	j.f, j.written, j.pending, j.broken = f, size, nil, false // a large buffer is not kept
+	old.Close()                                               // nothing of the old file is needed any more
+	return nil
+}
+
+// writeLive writes the records of what is live, and returns how many bytes they take.
+func (j *Journal) writeLive(f io.Writer) (size int64, err error) {
 	w := bufio.NewWriterSize(f, 64<<10)
-	size := int64(0)
 	put := func(payload []byte) {
 		n, _ := w.Write(appendRecord(nil, payload)) // the error stays with w
 		size += int64(n)
@@ -395,19 +437,11 @@
 			put(endedRecord(p.seq, *p.Ended))
 		}
 	}
-	if err := w.Flush(); err != nil {
-		return err
-	}
-	if err := os.Rename(f.Name(), j.path()); err != nil {
-		return err
-	}
-	old := j.f
-	j.f, j.written, j.pending, j.broken = f, size, nil, false // a large buffer is not kept
-	old.Close()                                               // nothing of the old file is needed any more
-	return nil
+	return size, w.Flush()
 }
 
 // Close writes what is queued and closes the file.
 func (j *Journal) Close() error {
+	j.retryAt = time.Time{} // there is no later try
 	return errors.Join(j.Flush(), j.f.Close())
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -210,3 +210,41 @@
 	testkit.Eventually(t, "the journal is written again", func() bool { return j.Flush() == nil })
 	sameLive(t, openTest(t, dir, 3).live, want)
 }
+
+// A new file that can't be made costs nothing while there is room to append to the old one.
+func TestAppendingGoesOnWhileCompactionFails(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, 3)
+	if err := os.Mkdir(j.path()+".new", 0o700); err != nil { // no file can be opened there
+		t.Fatal(err)
+	}
+	body := make([]byte, 16<<10)
+	for i := range 40 {
+		p := mustAccept(t, j, fmt.Sprint("m", i), body)
+		mustFlush(t, j)
+		if j.Down() {
+			t.Fatalf("down after %d bytes of 3 MB", j.written)
+		}
+		if i > 0 {
+			j.Over(p)
+		}
+	}
+	mustFlush(t, j)
+	if got := len(openCopy(t, dir).live); got != 1 {
+		t.Errorf("%d messages are found, want 1", got)
+	}
+}
+
+// openCopy opens what stands in a folder's journal now, without what stands beside it.
+func openCopy(t *testing.T, dir string) *Journal {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join(dir, journalName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied := t.TempDir()
+	if err := os.WriteFile(filepath.Join(copied, journalName), raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return openTest(t, copied, 3)
+}
