--- a/cmd/harrierramp/faultnode_test.go
+++ b/cmd/harrierramp/faultnode_test.go
@@ -298,6 +298,30 @@
 	kill   bool // in the next write to the folder
 }
 
+// fail adds a fault that lasts from now on for a while.
+func (s *schedule) fail(span time.Duration, decide func(sysfault.Call, *rand.Rand) sysfault.Verdict) *fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := time.Since(s.began)
+	f := &fault{from: from, to: from + span, decide: decide}
+	s.faults = append(s.faults, f)
+	return f
+}
+
+// over ends a fault.
+func (s *schedule) over(f *fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.to = time.Since(s.began)
+}
+
+// struck is how many calls a fault has met.
+func (s *schedule) struck(f *fault) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return f.met
+}
+
 func (s *schedule) decide(c sysfault.Call) sysfault.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/cmd/harrierramp/faultplay_test.go
+++ b/cmd/harrierramp/faultplay_test.go
@@ -94,7 +94,7 @@
 		kind := faultKinds[rng.IntN(len(faultKinds))]
 		f := kind.fault(rng)
 		f.name, f.from = kind.name, at
-		f.to = min(at+kind.least+rand.N(kind.most-kind.least), playLength-calmLength)
+		f.to = min(at+kind.least+time.Duration(rng.Int64N(int64(kind.most-kind.least))), playLength-calmLength)
 		if rng.IntN(4) > 0 { // else the next one comes beside it
 			at = f.to + time.Duration(rng.IntN(500))*time.Millisecond
 		}
@@ -137,11 +137,18 @@
 	}
 }
 
-// playFaults plays one node with clients and endpoints through the plan.
-func playFaults(t *testing.T, seed uint64, plan faultPlan) {
+// faultPlay is one node with its platform, two destinations of two endpoints each, and a ledger.
+type faultPlay struct {
+	ledger   *faultLedger
+	schedule *schedule
+	node     *faultyNode
+}
+
+// newFaultPlay starts one whose endpoints answer as replies says for the number of their destination.
+func newFaultPlay(t *testing.T, seed uint64, faults []*fault, replies func(l *faultLedger, dest int) func() reply) *faultPlay {
 	t.Helper()
 	l := newFaultLedger()
-	s := &schedule{rng: rand.New(rand.NewPCG(seed, 2)), began: l.began, faults: plan.faults}
+	s := &schedule{rng: rand.New(rand.NewPCG(seed, 2)), began: l.began, faults: faults}
 	state := filepath.Join(t.TempDir(), stateDirectory)
 	if err := os.Mkdir(state, 0o700); err != nil {
 		t.Fatal(err)
@@ -149,10 +156,20 @@
 	var members []string
 	for i := range 4 {
 		dest := 1 + i/2
-		members = append(members, member(fmt.Sprintf("e%d", i), newFaultEndpoint(t, l, chooser(l, plan, dest, seed+uint64(i))), dest))
+		members = append(members, member(fmt.Sprintf("e%d", i), newFaultEndpoint(t, l, replies(l, dest)), dest))
 	}
-	p := newPlatform(t, l, members)
-	n := newFaultyNode(t, p, state, faultSettings, s.decide, l)
+	return &faultPlay{l, s, newFaultyNode(t, newPlatform(t, l, members), state, faultSettings, s.decide, l)}
+}
+
+// playFaults plays one node with clients and endpoints through the plan.
+func playFaults(t *testing.T, seed uint64, plan faultPlan) {
+	t.Helper()
+	endpoints := uint64(0)
+	play := newFaultPlay(t, seed, plan.faults, func(l *faultLedger, dest int) func() reply {
+		endpoints++
+		return chooser(l, plan, dest, seed+endpoints)
+	})
+	l, s, n := play.ledger, play.schedule, play.node
 	var clients sync.WaitGroup
 	for i := range playClients {
 		clients.Go(func() { (&faultClient{n: n, l: l, rng: rand.New(rand.NewPCG(seed, 100+uint64(i))), number: i}).run() })
--- a/internal/lab/sysfault/injector.go
+++ b/internal/lab/sysfault/injector.go
@@ -81,7 +81,7 @@
 	r := response{id: n.id, flags: unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE}
 	c := in.call(n)
 	v := in.decide(c)
-	if v.Most > 0 && v.Most < c.Size {
+	if v.Most > 0 && (v.Most < c.Size || v.Errno != 0) {
 		if moved, errno, ok := in.transfer(n, v.Most); ok {
 			r.flags, r.value, r.errno = 0, int64(moved), -int32(errno)
 		}
--- a/internal/lab/sysfault/sysfault.go
+++ b/internal/lab/sysfault/sysfault.go
@@ -131,7 +131,7 @@
 
 // Verdict is what becomes of a call. The zero value lets it go on.
 type Verdict struct {
-	Errno syscall.Errno // it fails so; 0 for not
+	Errno syscall.Errno // it fails so, after Most bytes have been transferred if that is not 0; 0 for no failure
 	Most  int           // it transfers no more bytes than this; 0 for any number. Only of reads and writes
 	Kill  bool          // the process is killed, after Most bytes have been transferred if that is not 0
 }
--- a/internal/node/fleetward.go
+++ b/internal/node/fleetward.go
@@ -84,9 +84,10 @@
 	n.log.Warn("shut_out", "revision", news.Ahead, "own", n.revision)
 }
 
-// blinded tells the module when it is not to begin anything new on what the node knows, and when it is again.
+// blinded tells the module when it is not to begin anything new, and when it is again: on what the node knows, or while no
+// attempt can be journaled.
 func (n *Node) blinded(events []choice.Event) []choice.Event {
-	on := n.ward.out() || n.unfit || n.audit != nil && n.audit.gap.Blind()
+	on := n.journal.Down() || n.ward.out() || n.unfit || n.audit != nil && n.audit.gap.Blind()
 	if on == n.blind {
 		return events
 	}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -24,8 +24,8 @@
 // nothing has changed.
 func (n *Node) handOver(l *handover.Link) bool {
 	err := n.journal.Flush()
-	if err == nil && (len(n.acts) > 0 || n.remote > 0) {
-		err = errors.New("not at rest") // acts that wait for the journal, or calls of a process before this one
+	if err == nil && (!n.guarded.empty() || len(n.withdrawn) > 0 || n.remote > 0) {
+		err = errors.New("not at rest") // what waits for the journal, or calls of a process before this one
 	}
 	var state *handover.State
 	if err == nil {
@@ -103,7 +103,8 @@
 	known.Complete = true
 	n.learnt = newLearnt(n.cfg)
 	n.pool = n.newPool()
-	n.messages, n.owed, n.acts, n.held = map[string]*journal.Message{}, nil, nil, 0
+	n.messages, n.owed, n.held = map[string]*journal.Message{}, nil, 0
+	n.guarded, n.withdrawn = guarded{}, nil
 	clear(n.eps)
 	events := []choice.Event{n.listed(known)}
 	if c.State == nil && before == nil { // a sender that was carried over, or goes on, knows better
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,10 @@
 	named       map[string]bool       // endpoints that a list has ever named
 	dests       map[int]bool          // all that a list has ever named
 	held        int                   // messages without their final answer
-	acts        []func()              // what the records that are not yet written guard, in order
+	guarded     guarded               // what the records that are not yet written guard
+	withdrawn   []choice.Event        // ends of calls that could not be journaled, for the next step
+	cancelled   []attempt             // by this step
+	obeyed      []obeyed              // orders that hold after this step
 	wakeAt      time.Duration         // of the module; 0 none
 	calls       sync.WaitGroup
 }
@@ -133,6 +136,12 @@
 		on       bool
 		done     chan error
 	}
+
+	// obeyed is an order that has been carried out, or why it could not be.
+	obeyed struct {
+		order
+		err error
+	}
 )
 
 // New makes a node that Run brings to life. Its folder must be the node's alone.
@@ -402,8 +411,11 @@
 	if n.wakeAt > 0 {
 		wait = max(n.wakeAt-n.now(), 0)
 	}
+	if len(n.withdrawn) > 0 {
+		return 0
+	}
 	if n.journal.Down() {
-		wait = min(wait, journal.CompactPause)
+		wait = min(wait, journal.CompactPause, n.guarded.untilOverdue(time.Now()))
 	}
 	if n.kept != nil {
 		wait = min(wait, n.kept.Wait(time.Now()))
@@ -419,7 +431,8 @@
 	began := time.Now()
 	defer func() { n.figures.Stepped(time.Since(began)) }()
 	n.look()
-	var events []choice.Event
+	events := n.withdrawn
+	n.withdrawn = nil
 	fresh := map[string]arrival{}
 	for _, e := range batch {
 		switch e := e.(type) {
@@ -480,7 +493,6 @@
 	events = append(events, n.keptDue()...)
 	events = append(events, n.meet()...)
 	n.heed()
-	events = n.blinded(events)
 	// What the module is about to be told of, and the clients with it, rests on these records.
 	if err := n.journal.Flush(); err != nil && len(fresh) > 0 {
 		n.log.Error("messages_turned_away", "err", err)
@@ -495,6 +507,7 @@
 		}
 		fresh = nil
 	}
+	events = n.blinded(events)
 	if n.wakeAt > 0 && n.now() >= n.wakeAt {
 		n.wakeAt = 0
 		events = append(events, choice.Rang{Tag: "sweep"})
@@ -536,7 +549,7 @@
 		n.figures.Shed(a.Class)
 		return ingress.Answer{Refused: true}, false
 	}
-	p.Came = a.Came
+	p.Came, p.Deadline = a.Came, a.Came.Add(a.Life) // on the monotonic clock, which the journal does not keep
 	n.messages[p.ID] = p
 	n.held++
 	return ingress.Answer{}, true
@@ -544,7 +557,7 @@
 
 // obey carries out what operators have told. The yes follows once the module has heard of it.
 func (n *Node) obey(o order) choice.Event {
-	done := func(err error) { n.acts = append(n.acts, func() { o.done <- err }) }
+	done := func(err error) { n.obeyed = append(n.obeyed, obeyed{o, err}) }
 	if o.endpoint == "" {
 		err := n.orders.setDrained(o.on)
 		if err == nil {
@@ -692,17 +705,13 @@
 	for _, a := range n.sender.Step(n.now(), events) {
 		switch a := a.(type) {
 		case choice.Send:
-			n.send(ctx, a)
+			n.send(a)
 		case choice.PushBack:
 			n.end(a.ID, journal.Ending{After: a.RetryAfter}, fresh)
 		case choice.Fail:
 			n.end(a.ID, journal.Ending{Failed: true}, fresh)
 		case choice.Cancel:
-			n.acts = append(n.acts, func() {
-				if c, ok := n.out[attempt{a.ID, a.Attempt}]; ok {
-					c.cancel()
-				}
-			})
+			n.cancelled = append(n.cancelled, attempt{a.ID, a.Attempt})
 		case choice.Tell:
 			n.peers.send(a, n.log)
 		case choice.HangUp:
@@ -719,20 +728,33 @@
 	n.account()
 	n.keepList()
 	n.keepLearnt()
-	for _, a := range fresh { // not refused, so taken on
-		n.acts = append(n.acts, func() { a.answer(ingress.Answer{}) })
+	for _, a := range fresh { // not refused, so taken on; its record stands since before the step
+		a.answer(ingress.Answer{})
 	}
 	if n.audit != nil {
 		n.audit.acts.flush(n.revision, n.why.Load())
 	}
+	n.finishStep(ctx)
+}
+
+// finishStep does what the step has decided, as far as the journal lets it.
+func (n *Node) finishStep(ctx context.Context) {
 	if err := n.journal.Flush(); err != nil {
-		n.log.Error("journal_waiting", "acts", len(n.acts), "err", err)
-		return
+		n.log.Error("journal_waiting", "calls", len(n.guarded.calls), "answers", len(n.guarded.answers),
+			"notices", len(n.guarded.notices), "err", err)
+		n.withhold()
+	} else {
+		n.release(ctx)
+	}
+	for _, name := range n.cancelled {
+		if c, ok := n.out[name]; ok {
+			c.cancel()
+		}
 	}
-	for _, act := range n.acts {
-		act()
+	for _, o := range n.obeyed {
+		o.done <- o.err
 	}
-	n.acts = n.acts[:0]
+	n.cancelled, n.obeyed = n.cancelled[:0], n.obeyed[:0]
 }
 
 // publish brings the gauges up to date for readers that must not wait for the loop.
@@ -766,24 +788,22 @@
 		if e.Failed {
 			reply = ingress.Answer{Failed: "the message failed"}
 		}
-		n.acts = append(n.acts, func() { a.answer(reply) })
+		n.guarded.answers = append(n.guarded.answers, clientAnswer{a, reply})
 		return
 	}
 	n.held--
 	n.journal.Ended(p, e)
-	notice := outbox.NewNotice(p)
-	n.acts = append(n.acts, func() { n.owed = append(n.owed, notice) })
+	n.guarded.notices = append(n.guarded.notices, heldNotice{outbox.NewNotice(p), p.Deadline.Add(-noticeLead)})
 }
 
 // send journals an attempt, and makes the call once that is written.
-func (n *Node) send(ctx context.Context, a choice.Send) {
+func (n *Node) send(a choice.Send) {
 	p, e := n.messages[a.ID], n.eps[a.Endpoint]
 	if e == nil {
 		// The list has just lost it; a call there is NotSent, and so proven not to have run.
 		e = &egress.Endpoint{ID: a.Endpoint, Wait: new(atomic.Int64)}
 		e.Shut.Store(true)
 	}
-	pool := n.pool
 	name, now := attempt{a.ID, len(p.Sends)}, time.Now()
 	sent := journal.Send{At: now, Zone: e.Zone}
 	if n.audit != nil {
@@ -805,15 +825,5 @@
 	if n.audit != nil {
 		act = n.audit.acts.begun(e.ID)
 	}
-	n.acts = append(n.acts, func() {
-		ctx, cancel := context.WithCancel(ctx)
-		n.out[name] = outCall{p, e, cancel, act}
-		n.calls.Go(func() {
-			defer cancel()
-			began := time.Now()
-			res := pool.Do(ctx, c)
-			// Not by tell: the loop takes every call's end, also while the node leaves.
-			n.events <- called{name, e, res, time.Since(began)}
-		})
-	})
+	n.guarded.calls = append(n.guarded.calls, plannedCall{name, p, c, n.pool, act})
 }
