Refuse no message whose record may still be found at the next start

What callers saw: a message that was answered -BUSY, and so may have been handed in elsewhere, was forwarded after a restart (rule `lost`: still forwarded after it had ended).

Cause: a failed write may leave whole records in the file. A kill before the next compaction left their records for the next start.

Class: an answer given on the strength of an undo that had failed.

--- a/cmd/harrierramp/faults_test.go
+++ b/cmd/harrierramp/faults_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"harrierramp/internal/lab/sysfault"
 	"harrierramp/internal/testkit"
 )
 
@@ -47,3 +52,38 @@
 		t.Error("no verdict: no write has failed")
 	}
 }
+
+func TestARefusedMessageIsNotForwardedAfterARestart(t *testing.T) {
+	t.Parallel()
+	p := newFaultPlay(t, 1, nil, always(replyDelivered))
+	// The record is written whole, the write fails all the same, and nothing can be mended before the kill.
+	outage := p.schedule.fail(time.Minute, func(c sysfault.Call, _ *rand.Rand) sysfault.Verdict {
+		switch {
+		case writesFile(c):
+			return sysfault.Verdict{Most: c.Size, Errno: syscall.EIO}
+		case onState(unix.SYS_FTRUNCATE, unix.SYS_OPENAT)(c) && !strings.HasSuffix(c.Path, "/lock"):
+			return sysfault.Verdict{Errno: syscall.EIO}
+		}
+		return sysfault.Verdict{}
+	})
+	nc, br := testkit.DialTest(t, p.node.addr)
+	if err := nc.SetDeadline(time.Now().Add(answerPatience)); err != nil {
+		t.Fatal(err)
+	}
+	p.ledger.sent("refused", "status", time.Minute)
+	if _, err := nc.Write([]byte(testkit.Enqueue("refused", "c=status,d=60000,dest=1", "body"))); err != nil {
+		t.Fatal(err)
+	}
+	if line, err := br.ReadString('\n'); err == nil {
+		p.ledger.answered("refused", strings.TrimSpace(line))
+	} else {
+		p.ledger.noteFor("refused", "its client hears nothing: %v", err)
+	}
+	if p.schedule.struck(outage) == 0 {
+		t.Error("no verdict: no write has failed")
+	}
+	p.schedule.over(outage)
+	p.node.restart(false)
+	time.Sleep(500 * time.Millisecond)
+	p.mustKeepTheRules(t)
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -90,6 +90,7 @@
 	pending []byte // records not yet in the file
 	next    uint64
 	broken  bool // the file lacks records of what is live; only a new file will do
+	torn    bool // records that were given up may stand behind the good bytes, since they could not be cut off
 	retryAt time.Time
 
 	// Appended, if it is set, hears how long each write took.
@@ -279,6 +280,10 @@
 // Down tells that the file lacks records of what is owed: it is to be flushed again, and takes nothing on.
 func (j *Journal) Down() bool { return j.broken }
 
+// Torn tells that the next start may find messages whose records a failed Flush has given up. Until it is over, nobody may
+// be told that such a message was refused.
+func (j *Journal) Torn() bool { return j.torn }
+
 func record(kind byte, seq uint64) []byte { return binary.AppendUvarint([]byte{kind}, seq) }
 
 func acceptedRecord(p *Message) []byte {
@@ -359,8 +364,10 @@
 	}
 	if err != nil {
 		// Whole records of what is not going to be done must not be found at the next start.
+		rewound := j.rewind()
+		j.torn = rewound != nil
 		j.giveUp()
-		return fmt.Errorf("journal: %w", errors.Join(err, j.rewind()))
+		return fmt.Errorf("journal: %w", errors.Join(err, rewound))
 	}
 	j.written = after
 	j.pending = j.pending[:0]
@@ -372,6 +379,9 @@
 
 // recover writes the new file that a broken journal needs. What has been queued meanwhile is live, and so in it.
 func (j *Journal) recover() error {
+	if j.torn && j.rewind() == nil {
+		j.torn = false
+	}
 	j.pending = nil
 	return j.compact()
 }
@@ -410,8 +420,8 @@
 		return err
 	}
 	old := j.f
-	j.f, j.written, j.pending, j.broken = f, size, nil, false // a large buffer is not kept
-	old.Close()                                               // nothing of the old file is needed any more
+	j.f, j.written, j.pending, j.broken, j.torn = f, size, nil, false, false // a large buffer is not kept
+	old.Close()                                                              // nothing of the old file is needed any more
 	return nil
 }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -248,3 +248,27 @@
 	}
 	return openTest(t, copied, 3)
 }
+
+// What stands behind the last good record after a failed write is found by the next start until it is cut off.
+func TestAJournalSaysThatGivenUpRecordsMayBeFound(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, 3)
+	full, err := os.OpenFile("/dev/full", os.O_RDWR, 0) // neither written nor cut
+	if err != nil {
+		t.Skip("no /dev/full here")
+	}
+	good := j.f
+	j.f = full
+	if err := os.Mkdir(j.path()+".new", 0o700); err != nil {
+		t.Fatal(err)
+	}
+	mustAccept(t, j, "refused", nil)
+	if err := j.Flush(); err == nil || !j.Torn() {
+		t.Errorf("torn %v after %v", j.Torn(), err)
+	}
+	j.f = good // it can be cut again, though no new file can be made
+	testkit.Eventually(t, "the end is cut off", func() bool { return j.Flush() != nil && !j.Torn() })
+	if !j.Down() {
+		t.Error("it is up without its records")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -503,7 +503,7 @@
 		for id, a := range fresh {
 			n.figures.Shed(a.Class)
 			n.forget(n.messages[id])
-			a.answer(ingress.Answer{Refused: true})
+			n.refuseGivenUp(a)
 		}
 		fresh = nil
 	}
@@ -515,6 +515,17 @@
 	n.step(ctx, events, fresh)
 }
 
+// refuseGivenUp refuses a message whose record could not be written. Where the record may yet be found at the next start, the
+// refusal waits until it can't: by then the client has most likely gone without having heard anything.
+func (n *Node) refuseGivenUp(a arrival) {
+	refusal := clientAnswer{a, ingress.Answer{Refused: true}}
+	if n.journal.Torn() {
+		n.guarded.answers = append(n.guarded.answers, refusal)
+		return
+	}
+	refusal.to.answer(refusal.answer)
+}
+
 // answer tells all who wait for it. Their channels have room.
 func (a arrival) answer(told ingress.Answer) {
 	a.reply <- told
@@ -741,7 +752,7 @@
 func (n *Node) finishStep(ctx context.Context) {
 	if err := n.journal.Flush(); err != nil {
 		n.log.Error("journal_waiting", "calls", len(n.guarded.calls), "answers", len(n.guarded.answers),
-			"notices", len(n.guarded.notices), "err", err)
+			"notices", len(n.guarded.notices), "torn", n.journal.Torn(), "err", err)
 		n.withhold()
 	} else {
 		n.release(ctx)
