Go on with a start while its calls fail for a moment

What callers saw: a node that was started again while opening, writing or truncating files of its folder, or opening sockets, failed for a moment ended with exit status 1. What it owed was lost with it: no final answer (rule `lost`), and a crash.

An interrupted flock was taken for another process that owns the folder, and the start for an upgrade.

Now internal/transient says which errors may pass and repeats what failed so: 20 s for the folder, 5 s for sockets and the configuration, of the 30 s that a node has.

Class: a failure of a moment taken for a lasting one.

--- a/cmd/harrierramp/faultnode_test.go
+++ b/cmd/harrierramp/faultnode_test.go
@@ -135,6 +135,18 @@
 	return err == nil && strings.HasPrefix(line, "+PONG")
 }
 
+// handInUnheard hands a message in to a node that may be killed meanwhile.
+func (n *faultyNode) handInUnheard(request string) {
+	nc, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		return
+	}
+	defer nc.Close()
+	io.WriteString(nc, request)
+	nc.SetReadDeadline(time.Now().Add(answerPatience))
+	io.Copy(io.Discard, nc)
+}
+
 // kill ends the process at once.
 func (n *faultyNode) kill() {
 	n.mu.Lock()
--- a/cmd/harrierramp/faults_test.go
+++ b/cmd/harrierramp/faults_test.go
@@ -87,3 +87,33 @@
 	time.Sleep(500 * time.Millisecond)
 	p.mustKeepTheRules(t)
 }
+
+func TestAStartOutlastsCallsThatFail(t *testing.T) {
+	t.Parallel()
+	for name, decide := range map[string]func(sysfault.Call, *rand.Rand) sysfault.Verdict{
+		"opening files":     fails(onState(unix.SYS_OPENAT), syscall.ENFILE, syscall.EIO, syscall.ENOSPC),
+		"short reads":       short,
+		"writing files":     fails(writesFile, syscall.ENOSPC, syscall.EIO),
+		"truncation":        fails(onState(unix.SYS_FTRUNCATE), syscall.EIO),
+		"removal":           fails(onState(unix.SYS_UNLINKAT), syscall.EIO),
+		"sockets":           fails(numbered(unix.SYS_SOCKET), syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM),
+		"interrupted calls": interrupted,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newFaultPlay(t, 1, nil, always(replyNever))
+			if got := p.handIn(t, "m", "order", 4*time.Second); got != "+OK" {
+				t.Fatal(got)
+			}
+			p.schedule.killInWrite(true) // the journal ends within a record
+			p.node.handInUnheard(testkit.Enqueue("torn", "c=status,d=4000,dest=1", "body"))
+			f := p.schedule.fail(restartPause+700*time.Millisecond, decide)
+			p.node.restart(false)
+			time.Sleep(4 * time.Second)
+			p.mustKeepTheRules(t)
+			if p.schedule.struck(f) == 0 {
+				t.Error("no verdict: no call has failed")
+			}
+		})
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -25,8 +25,12 @@
 	"harrierramp/internal/logging"
 	"harrierramp/internal/node"
 	"harrierramp/internal/statedir"
+	"harrierramp/internal/transient"
 )
 
+// startPatience is how long a start repeats what fails for a reason that may pass.
+const startPatience = 5 * time.Second
+
 // lockPatience is how long a process that was told to end may still hold the folder of the one that comes.
 const lockPatience = 5 * time.Second
 
@@ -84,7 +88,11 @@
 	if s.File == "" && len(s.Sets) == 0 {
 		return errors.New("no configuration: give --config FILE or set ROUTER_CONFIG; 'harrierramp config example' prints one")
 	}
-	cfg, err := config.Load(s)
+	var cfg *config.Loaded
+	err := transient.Retry(ctx, startPatience, nil, func() (err error) {
+		cfg, err = config.Load(s)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -93,10 +101,13 @@
 		return err
 	}
 	log = log.With("node", cfg.Name)
-	if err := statedir.Check(cfg.State, cfg.Name); err != nil {
+	patiently := func(do func() error) error {
+		return transient.Retry(ctx, startPatience, func(err error) { log.Warn("start_waits", "err", err) }, do)
+	}
+	if err := patiently(func() error { return statedir.Check(cfg.State, cfg.Name) }); err != nil {
 		return err
 	}
-	if err := aloneIn(ctx, cfg.State); err != nil {
+	if err := patiently(func() error { return aloneIn(ctx, cfg.State) }); err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
@@ -107,11 +118,19 @@
 	// What can't be opened ends the node before it has taken anything on or written anything.
 	var door net.Listener
 	if cfg.Console != "" {
-		if door, err = net.Listen("tcp", cfg.Console); err != nil {
+		err := patiently(func() (err error) {
+			door, err = net.Listen("tcp", cfg.Console)
+			return err
+		})
+		if err != nil {
 			return fmt.Errorf("operators' door (door): %w", err)
 		}
 	}
-	ln, err := listenToClients(cfg.Listen)
+	var ln net.Listener
+	err = patiently(func() (err error) {
+		ln, err = listenToClients(cfg.Listen)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("clients (listen): %w", err)
 	}
--- a/internal/handover/acquire.go
+++ b/internal/handover/acquire.go
@@ -39,14 +39,19 @@
 	if err != nil {
 		return Claim{}, fmt.Errorf("ownership: %w", err)
 	}
-	for upgrade := false; ; upgrade = true {
+	upgrade := false
+	for {
 		err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
 		if err == nil {
 			return Claim{Lock: f, Upgrade: upgrade}, nil
 		}
-		if !errors.Is(err, syscall.EWOULDBLOCK) && !errors.Is(err, syscall.EINTR) {
+		if errors.Is(err, syscall.EINTR) {
+			continue // nobody was found to own it
+		}
+		if !errors.Is(err, syscall.EWOULDBLOCK) {
 			return Claim{}, errors.Join(fmt.Errorf("ownership: %w", err), f.Close())
 		}
+		upgrade = true
 		if ask {
 			if c, err := askOwner(ctx, dir); err == nil {
 				return c, f.Close() // the lock is that of the descriptor that came
@@ -133,7 +138,12 @@
 		return false, fmt.Errorf("ownership: %w", err)
 	}
 	defer f.Close() // gives back the lock that a free folder lets us have
-	err = syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
+	for {
+		err = syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
+		if !errors.Is(err, syscall.EINTR) {
+			break
+		}
+	}
 	if errors.Is(err, syscall.EWOULDBLOCK) {
 		return true, nil
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -113,9 +113,8 @@
 	}
 	j.f = f
 	j.replay(f) // to a torn tail at the most: what it would have guarded was not done
-	if err := j.rewind(); err != nil {
-		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
-	}
+	// Without a truncation a new file has to be written before anything is appended.
+	j.broken = j.rewind() != nil
 	return j, nil
 }
 
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -18,6 +18,7 @@
 	"harrierramp/internal/journal"
 	"harrierramp/internal/listwatch"
 	"harrierramp/internal/outbox"
+	"harrierramp/internal/transient"
 )
 
 // handOver gives the node to a successor, between two steps of the loop. It tells whether that owns it now; if not,
@@ -64,16 +65,22 @@
 // begin takes the node's state into this process: from the journal, from what a predecessor has handed over, and
 // from what this process has known since it owned the node itself. Calls that have ended since then are
 // unheard. It returns the module's first events.
-func (n *Node) begin(c handover.Claim, unheard []called) ([]choice.Event, error) {
-	var err error
-	if n.journal, err = journal.Open(n.cfg.State, journalMB(n.cfg)); err != nil {
+func (n *Node) begin(ctx context.Context, c handover.Claim, unheard []called) ([]choice.Event, error) {
+	err := n.patiently(ctx, func() (err error) {
+		n.journal, err = journal.Open(n.cfg.State, journalMB(n.cfg))
+		return err
+	})
+	if err != nil {
 		return nil, err
 	}
 	n.journal.Appended = n.figures.Appended
 	before := n.orders
-	if n.orders, err = readOrders(n.cfg.State); err == nil && !c.Upgrade {
-		err = n.orders.setDrained(false) // a drain is the running node's: it ends with a restart
-	}
+	err = n.patiently(ctx, func() (err error) {
+		if n.orders, err = readOrders(n.cfg.State); err == nil && !c.Upgrade {
+			err = n.orders.setDrained(false) // a drain is the running node's: it ends with a restart
+		}
+		return err
+	})
 	if err != nil {
 		return nil, errors.Join(err, n.journal.Close())
 	}
@@ -123,6 +130,15 @@
 	return append(events, n.replayed(c, unheard)...), nil
 }
 
+// startPatience is how long a start goes on trying to read or write its folder. The platform gives a node 30 s to be ready.
+const startPatience = 20 * time.Second
+
+// patiently does what a start needs, again as long as it fails for a reason that may pass.
+func (n *Node) patiently(ctx context.Context, do func() error) error {
+	failed := func(err error) { n.log.Warn("start_waits", "err", err) }
+	return transient.Retry(ctx, startPatience, failed, do)
+}
+
 // replayed makes the events of what the journal says is still owed, in the order in which it was taken on.
 func (n *Node) replayed(c handover.Claim, unheard []called) (events []choice.Event) {
 	for _, p := range n.journal.Owed() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,7 +217,11 @@
 
 	var unheard []called
 	for ask := true; ; ask = false {
-		c, err := handover.Acquire(ctx, n.cfg.State, ask)
+		var c handover.Claim
+		err := n.patiently(ctx, func() (err error) {
+			c, err = handover.Acquire(ctx, n.cfg.State, ask)
+			return err
+		})
 		if ctx.Err() != nil && err != nil {
 			return nil // a stand-by, or one that never came to serve
 		}
@@ -245,7 +249,7 @@
 func (n *Node) own(life context.Context, c handover.Claim, unheard []called, gone <-chan struct{}) (successor *handover.Link, err error) {
 	defer func() { err = errors.Join(err, c.Lock.Close()) }() // a successor holds it by a descriptor of its own
 	n.lock = c.Lock
-	events, err := n.begin(c, unheard)
+	events, err := n.begin(life, c, unheard)
 	if err != nil {
 		if c.From != nil {
 			c.From.Close()
--- a/internal/node/twice_test.go
+++ b/internal/node/twice_test.go
@@ -23,7 +23,7 @@
 				t.Fatal(err)
 			}
 			n := New(cfg, slog.New(slog.DiscardHandler))
-			events, err := n.begin(handover.Claim{}, nil)
+			events, err := n.begin(t.Context(), handover.Claim{}, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/statedir/statedir.go
+++ b/internal/statedir/statedir.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -46,10 +47,12 @@
 		return fmt.Errorf("state folder: %w", err)
 	}
 	defer f.Close()
-	raw := make([]byte, maxFile)
-	n, _ := f.Read(raw) // an empty file can't be read as JSON either
+	raw, err := io.ReadAll(io.LimitReader(f, maxFile))
+	if err != nil {
+		return fmt.Errorf("state folder: %w", err)
+	}
 	var id identity
-	if err := json.Unmarshal(raw[:n], &id); err != nil {
+	if err := json.Unmarshal(raw, &id); err != nil {
 		return fmt.Errorf("state folder %s: %s can't be read (%w); if the folder is this node's, remove that file", dir, fileName, err)
 	}
 	if id.Format > Format {
--- /dev/null
+++ b/internal/transient/transient_test.go
@@ -0,0 +1,66 @@
+package transient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestWhichErrorsMayPass(t *testing.T) {
+	for _, c := range []struct {
+		err       error
+		is, local bool
+	}{
+		{nil, false, false},
+		{errors.New("other"), false, false},
+		{syscall.ECONNREFUSED, false, false},
+		{os.ErrNotExist, false, false},
+		{&os.PathError{Op: "write", Path: "f", Err: syscall.ENOSPC}, true, false},
+		{fmt.Errorf("journal: %w", &os.PathError{Op: "open", Path: "f", Err: syscall.ENFILE}), true, true},
+		{&net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.ENOBUFS)}, true, true},
+		{&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.EADDRNOTAVAIL)}, true, true},
+		{&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ETIMEDOUT)}, false, false},
+		{errors.Join(errors.New("first"), syscall.EIO), true, false},
+	} {
+		if Is(c.err) != c.is || Local(c.err) != c.local {
+			t.Errorf("%v: may pass %v, local %v", c.err, Is(c.err), Local(c.err))
+		}
+	}
+}
+
+func TestRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began, tries, heard := time.Now(), 0, 0
+		until := func(over time.Duration, err error) func() error {
+			return func() error {
+				if tries++; time.Since(began) < over {
+					return err
+				}
+				return nil
+			}
+		}
+		ctx := context.Background()
+		if err := Retry(ctx, time.Second, func(error) { heard++ }, until(300*time.Millisecond, syscall.EIO)); err != nil || tries != 7 || heard != 6 {
+			t.Errorf("%v after %d tries, %d heard", err, tries, heard)
+		}
+		began = time.Now()
+		if err := Retry(ctx, time.Second, nil, until(time.Hour, syscall.EIO)); err != syscall.EIO || time.Since(began) > 1100*time.Millisecond {
+			t.Errorf("%v after %v", err, time.Since(began))
+		}
+		tries = 0
+		if err := Retry(ctx, time.Second, nil, until(time.Hour, os.ErrNotExist)); err != os.ErrNotExist || tries != 1 {
+			t.Errorf("%v after %d tries", err, tries)
+		}
+		ended, cancel := context.WithCancel(ctx)
+		cancel()
+		if err := Retry(ended, time.Second, nil, until(time.Hour, syscall.EIO)); err != syscall.EIO {
+			t.Errorf("%v after its end", err)
+		}
+	})
+}
