--- a/cmd/harrierramp/faults_test.go
+++ b/cmd/harrierramp/faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -88,10 +89,50 @@
 	p.mustKeepTheRules(t)
 }
 
+// What is owed is found again, also where the journal can't be read to its end at first.
+func TestAReadErrorAtAStartLosesNothing(t *testing.T) {
+	t.Parallel()
+	var answers atomic.Bool
+	p := newFaultPlay(t, 1, nil, func(*faultLedger, int) func() reply {
+		return func() reply {
+			if answers.Load() {
+				return replyDelivered
+			}
+			return replyNever
+		}
+	})
+	for i := range 20 {
+		if got := p.handIn(t, fmt.Sprint("m", i), "status", time.Minute); got != "+OK" {
+			t.Fatalf("%d: %q", i, got)
+		}
+	}
+	answers.Store(true)
+	reads := 0
+	p.schedule.fail(time.Minute, func(c sysfault.Call, _ *rand.Rand) sysfault.Verdict {
+		if c.Number == unix.SYS_READ && strings.HasSuffix(c.Path, stateDirectory+"/journal") {
+			if reads++; reads <= 6 { // half of the first read arrives, and then none for a while
+				if reads%2 == 1 {
+					return sysfault.Verdict{Most: 500}
+				}
+				return sysfault.Verdict{Errno: syscall.EIO}
+			}
+		}
+		return sysfault.Verdict{}
+	})
+	p.node.restart(false)
+	testkit.Eventually(t, "all are delivered", func() bool {
+		p.ledger.mu.Lock()
+		defer p.ledger.mu.Unlock()
+		return p.ledger.figures["delivered"] == 20
+	})
+	p.mustKeepTheRules(t)
+}
+
 func TestAStartOutlastsCallsThatFail(t *testing.T) {
 	t.Parallel()
 	for name, decide := range map[string]func(sysfault.Call, *rand.Rand) sysfault.Verdict{
 		"opening files":     fails(onState(unix.SYS_OPENAT), syscall.ENFILE, syscall.EIO, syscall.ENOSPC),
+		"reading files":     fails(onState(unix.SYS_READ), syscall.EIO),
 		"short reads":       short,
 		"writing files":     fails(writesFile, syscall.ENOSPC, syscall.EIO),
 		"truncation":        fails(onState(unix.SYS_FTRUNCATE), syscall.EIO),
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -93,6 +93,10 @@
 	torn    bool // records that were given up may stand behind the good bytes, since they could not be cut off
 	retryAt time.Time
 
+	// Damage is why Open did not read to the end of the file, nil where it did or where a kill has torn the last record.
+	// What stands behind it is lost.
+	Damage error
+
 	// Appended, if it is set, hears how long each write took.
 	Appended func(time.Duration)
 }
@@ -112,7 +116,13 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	j.f = f
-	j.replay(f) // to a torn tail at the most: what it would have guarded was not done
+	switch err := j.replay(f); {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF): // what a torn tail would have guarded was not done
+	case errors.Is(err, errDamaged):
+		j.Damage = fmt.Errorf("journal: at byte %d: %w", j.written, err)
+	default: // what stands behind is not known, and may be owed
+		return nil, errors.Join(fmt.Errorf("journal: at byte %d: %w", j.written, err), f.Close())
+	}
 	// Without a truncation a new file has to be written before anything is appended.
 	j.broken = j.rewind() != nil
 	return j, nil
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"reflect"
+	"syscall"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"harrierramp/internal/testkit"
@@ -272,3 +275,18 @@
 		t.Error("it is up without its records")
 	}
 }
+
+// A file that can't be read to its end for a moment is not cut there.
+func TestAReadErrorIsNoEndOfTheJournal(t *testing.T) {
+	j := openTest(t, t.TempDir(), 3)
+	history(t, j)
+	whole, err := os.ReadFile(j.path())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fails := iotest.ErrReader(syscall.EIO)
+	read := Journal{live: map[uint64]*Message{}}
+	if err := read.replay(io.MultiReader(bytes.NewReader(whole[:len(whole)/2]), fails)); !errors.Is(err, syscall.EIO) {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -73,6 +73,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.journal.Damage != nil {
+		n.log.Error("journal_damaged", "err", n.journal.Damage)
+	}
 	n.journal.Appended = n.figures.Appended
 	before := n.orders
 	err = n.patiently(ctx, func() (err error) {
