Tell final answers in time after connections to the platform failed for a moment

What callers saw: final answers 0.15 to 0.23 s late after connects or sockets had failed until 0.27 s after a message's time, or after a connection to the platform's agent had not come up or said nothing (rule `lost`).

Cause: outbox.Run paused twice as long after each failure, up to 2 s, and gave each post 500 ms: a pause for a service that a fleet shares, spent on an agent of the node's own that answers at once, while a notice is due within 300 ms. A dial that does not come up held the post for all of its time.

Now posts to the agent are given up after 200 ms and repeated within 50 ms, and its client dials again beside a dial that is not up after 75 ms, four at most (listwatch.NewAgentClient). Posts and watches of the project's own list service keep their pace.

Class: a back-off taken without asking what is due.

--- a/cmd/harrierramp/faultnode_test.go
+++ b/cmd/harrierramp/faultnode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -195,8 +197,12 @@
 	srv     *httptest.Server
 	ledger  *faultLedger
 	members []string
+	silent  atomic.Int64 // Unix time in nanoseconds: posts that come before it get no answer and are not heard
 }
 
+// silence has posts that come before a moment wait for good.
+func (p *platform) silence(until time.Time) { p.silent.Store(until.UnixNano()) }
+
 func newPlatform(t *testing.T, l *faultLedger, members []string) *platform {
 	t.Helper()
 	p := &platform{ledger: l, members: members}
@@ -219,7 +225,15 @@
 		}
 	})
 	mux.HandleFunc("POST /reports", func(w http.ResponseWriter, r *http.Request) {
-		lines := bufio.NewScanner(r.Body)
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if time.Now().UnixNano() < p.silent.Load() {
+			<-r.Context().Done() // only once its body has been read does a request hear of its connection's end
+			return
+		}
+		lines := bufio.NewScanner(bytes.NewReader(body))
 		for lines.Scan() {
 			var notice struct{ ID, State string }
 			if err := json.Unmarshal(lines.Bytes(), &notice); err != nil {
--- a/cmd/harrierramp/faultplay_test.go
+++ b/cmd/harrierramp/faultplay_test.go
@@ -141,6 +141,7 @@
 type faultPlay struct {
 	ledger   *faultLedger
 	schedule *schedule
+	platform *platform
 	node     *faultyNode
 }
 
@@ -158,7 +159,8 @@
 		dest := 1 + i/2
 		members = append(members, member(fmt.Sprintf("e%d", i), newFaultEndpoint(t, l, replies(l, dest)), dest))
 	}
-	return &faultPlay{l, s, newFaultyNode(t, newPlatform(t, l, members), state, faultSettings, s.decide, l)}
+	p := newPlatform(t, l, members)
+	return &faultPlay{l, s, p, newFaultyNode(t, p, state, faultSettings, s.decide, l)}
 }
 
 // playFaults plays one node with clients and endpoints through the plan.
--- a/cmd/harrierramp/faults_test.go
+++ b/cmd/harrierramp/faults_test.go
@@ -158,3 +158,43 @@
 		})
 	}
 }
+
+// A notice is due 300 ms after its message's time. Whatever kept it from being told until 20 ms before that, it is told.
+func TestNoticesComeInTimeAfterConnectionsFailed(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		until  time.Duration // after the message's time
+		decide func(sysfault.Call, *rand.Rand) sysfault.Verdict
+	}{
+		"no address":               {270 * time.Millisecond, fails(numbered(unix.SYS_CONNECT), syscall.EADDRNOTAVAIL)},
+		"no route":                 {270 * time.Millisecond, fails(numbered(unix.SYS_CONNECT), syscall.ENETUNREACH, syscall.EHOSTUNREACH)},
+		"no descriptors":           {270 * time.Millisecond, fails(numbered(unix.SYS_SOCKET), syscall.ENFILE, syscall.EMFILE)},
+		"no buffers":               {270 * time.Millisecond, fails(numbered(unix.SYS_SOCKET), syscall.ENOBUFS, syscall.ENOMEM)},
+		"the dial does not end":    {150 * time.Millisecond, fails(numbered(unix.SYS_CONNECT), syscall.EINTR)},
+		"the answer never arrives": {100 * time.Millisecond, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newFaultPlay(t, 1, nil, always(replyNever))
+			const life = 900 * time.Millisecond
+			if c.decide == nil {
+				p.platform.silence(time.Now().Add(life + c.until))
+			}
+			if got := p.handIn(t, "m", "payout", life); got != "+OK" {
+				t.Fatal(got)
+			}
+			due := time.Now().Add(life)
+			time.Sleep(time.Until(due.Add(-100 * time.Millisecond)))
+			if c.decide != nil {
+				f := p.schedule.fail(100*time.Millisecond+c.until, c.decide)
+				defer func() {
+					if p.schedule.struck(f) == 0 {
+						t.Error("no verdict: no call has failed")
+					}
+				}()
+			}
+			time.Sleep(time.Second)
+			p.mustKeepTheRules(t)
+		})
+	}
+}
--- /dev/null
+++ b/internal/listwatch/racing.go
@@ -0,0 +1,69 @@
+package listwatch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	raceAfter = 75 * time.Millisecond // a connection to an agent on the same machine is up at once
+	raceMost  = 4                     // dials beside each other
+)
+
+// NewAgentClient is NewClient for an agent on the node's own machine. A connection to it that does not come up is not waited
+// for: final answers are due within 300 ms.
+func NewAgentClient(source net.Addr) *http.Client {
+	dialer := &net.Dialer{LocalAddr: source, Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 2, DisableCompression: true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return race(ctx, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, network, addr) })
+		},
+	}}
+}
+
+// race dials, and again every raceAfter beside the dials that have not come up, raceMost at most. It returns the first
+// connection, or an error once every dial that was begun has failed. Other connections are closed.
+func race(ctx context.Context, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		conn net.Conn
+		err  error
+	}
+	results := make(chan result)
+	begin := func() {
+		go func() {
+			conn, err := dial(ctx)
+			select {
+			case results <- result{conn, err}:
+			case <-ctx.Done(): // another one has won, or nobody waits any more
+				if err == nil {
+					conn.Close()
+				}
+			}
+		}()
+	}
+	begin()
+	begun, out := 1, 1
+	again := time.NewTicker(raceAfter)
+	defer again.Stop()
+	for {
+		select {
+		case r := <-results:
+			if out--; r.err == nil || out == 0 {
+				return r.conn, r.err
+			}
+		case <-again.C:
+			if begun < raceMost {
+				begin()
+				begun++
+				out++
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/listwatch/racing_test.go
@@ -0,0 +1,83 @@
+package listwatch
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// closeCounter is a connection that tells its end.
+type closeCounter struct {
+	net.Conn
+	closed *atomic.Int32
+}
+
+func (c closeCounter) Close() error {
+	c.closed.Add(1)
+	return nil
+}
+
+func TestADialThatDoesNotComeUpIsNotWaitedFor(t *testing.T) {
+	hangs := func(ctx context.Context) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	refused := errors.New("refused")
+	for name, c := range map[string]struct {
+		dials []func(context.Context) (net.Conn, error) // nil is up at once
+		took  time.Duration
+		err   error
+		begun int32
+	}{
+		"at once":             {dials: []func(context.Context) (net.Conn, error){nil}, begun: 1},
+		"the first hangs":     {dials: []func(context.Context) (net.Conn, error){hangs, nil}, took: raceAfter, begun: 2},
+		"two hang":            {dials: []func(context.Context) (net.Conn, error){hangs, hangs, nil}, took: 2 * raceAfter, begun: 3},
+		"refused":             {dials: []func(context.Context) (net.Conn, error){func(context.Context) (net.Conn, error) { return nil, refused }}, err: refused, begun: 1},
+		"all hang to the end": {dials: []func(context.Context) (net.Conn, error){hangs, hangs, hangs, hangs}, took: time.Second, err: context.DeadlineExceeded, begun: raceMost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var begun, closed atomic.Int32
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				began := time.Now()
+				conn, err := race(ctx, func(ctx context.Context) (net.Conn, error) {
+					if dial := c.dials[begun.Add(1)-1]; dial != nil {
+						return dial(ctx)
+					}
+					return closeCounter{closed: &closed}, nil
+				})
+				if took := time.Since(began); took != c.took || !errors.Is(err, c.err) || begun.Load() != c.begun {
+					t.Errorf("after %v, %d dials: %v, %v", took, begun.Load(), conn, err)
+				}
+				synctest.Wait()
+				if closed.Load() != 0 {
+					t.Error("the connection that was returned is closed")
+				}
+			})
+		})
+	}
+}
+
+func TestTheLoserOfTwoDialsIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var begun, closed atomic.Int32
+		conn, err := race(t.Context(), func(context.Context) (net.Conn, error) {
+			if begun.Add(1) == 1 {
+				time.Sleep(2 * raceAfter) // it comes up after the other
+			}
+			return closeCounter{closed: &closed}, nil
+		})
+		if conn == nil || err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if closed.Load() != 1 {
+			t.Errorf("%d connections are closed, want 1", closed.Load())
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,7 +153,7 @@
 	n := &Node{
 		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(), began: time.Now(),
 		figures:   metrics.New(cfg.Names.Classes),
-		client:    listwatch.NewClient(cfg.From()),
+		client:    newListClient(cfg),
 		discovery: listwatch.NewAddresses(cfg.DiscoveryAt()),
 		events:    make(chan any, eventQueue), notices: make(chan []outbox.Notice), asks: make(chan *handover.Link),
 		nudge:    make(chan struct{}, 1),
@@ -164,6 +164,14 @@
 	return n
 }
 
+// newListClient makes the client for the list and for notices.
+func newListClient(cfg config.Config) *http.Client {
+	if cfg.Registry != nil {
+		return listwatch.NewClient(cfg.From())
+	}
+	return listwatch.NewAgentClient(cfg.From())
+}
+
 func (n *Node) newPool() *egress.Pool {
 	s, most := n.cfg.Settings, n.cfg.Limits.Sockets
 	return egress.NewPool(n.cfg.From(), s.DialTimeout, s.ConnIdle, max(most/4, 8), callPlaces(most), &n.figures.Tries)
@@ -268,11 +276,11 @@
 	follow, after := n.newWatcher(func(l listwatch.List) { n.tell(term, l) }), n.revision
 	parts.Go(func() { follow.Run(term, after) })
 	parts.Go(func() {
-		patience := time.Duration(0)
+		pace := outbox.AgentPace()
 		if n.cfg.Registry != nil {
-			patience = outbox.SlowPatience
+			pace = outbox.ServicePace()
 		}
-		outbox.Run(term, n.log, n.client, n.discovery, patience, n.notices, func(b []outbox.Notice) { n.tell(term, settled(b)) })
+		outbox.Run(term, n.log, n.client, n.discovery, pace, n.notices, func(b []outbox.Notice) { n.tell(term, settled(b)) })
 	})
 	if ln, err := handover.Listen(n.cfg.State); err != nil {
 		n.log.Error("handover_unavailable", "err", err)
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -16,16 +16,30 @@
 )
 
 const (
-	// noticeTimeout bounds one post. The agent answers at once, and a notice is overdue 300 ms after its
-	// message's time, so a connection that says nothing is given up early.
-	noticeTimeout = 500 * time.Millisecond
-	// SlowPatience is for a list service that may be slow: one that takes longer than noticeTimeout for every post would
-	// never be heard to take any, and be given each again and again.
-	SlowPatience = 4 * time.Second
-	maxPost      = 64 << 10 // of a post, which maxNotices keeps to
-	maxNotices   = 32       // in one post: with the longest ids, every byte escaped, its body stays under 64 KiB
+	maxPost    = 64 << 10 // of a post, which maxNotices keeps to
+	maxNotices = 32       // in one post: with the longest ids, every byte escaped, its body stays under 64 KiB
+
+	agentTimeout = 200 * time.Millisecond // a notice is overdue 300 ms after its message's time: there is time for two posts
+	agentPause   = 50 * time.Millisecond
+
+	serviceTimeout = 500 * time.Millisecond
+	// A list service that took longer than serviceTimeout for every post would never be heard to take any, and be given
+	// each again and again.
+	servicePatience = 4 * time.Second
 )
 
+// Pace is how posts are repeated that are not taken.
+type Pace struct {
+	Timeout, Patience time.Duration // a post is given up after Timeout, later ones after up to Patience
+	LastPause         time.Duration // pauses between posts grow up to this
+}
+
+// AgentPace is for an agent on the node's own machine, which answers at once and at no cost.
+func AgentPace() Pace { return Pace{agentTimeout, agentTimeout, agentPause} }
+
+// ServicePace is for a list service that a fleet shares and that may be slow.
+func ServicePace() Pace { return Pace{serviceTimeout, servicePatience, backoff.Last} }
+
 // Notice tells the platform how a message ended that was taken on and not delivered.
 type Notice struct {
 	Of      *journal.Message `json:"-"`
@@ -44,13 +58,13 @@
 
 // Run posts the notices that come, in order, until ctx ends. A post that is not taken is made again, for a
 // notice that comes twice does no harm and one that never comes loses its message. What was taken goes to
-// done; the journal keeps the rest for the next start. A post is given up after half a second, and after each that was
-// given up so, one waits twice as long for the next, up to patience, if that is more.
+// done; the journal keeps the rest for the next start. After each post that was given up for its time, one waits twice as
+// long for the next, as far as the pace allows.
 func Run(
-	ctx context.Context, log *slog.Logger, client *http.Client, at *listwatch.Addresses, patience time.Duration, notices <-chan []Notice,
+	ctx context.Context, log *slog.Logger, client *http.Client, at *listwatch.Addresses, pace Pace, notices <-chan []Notice,
 	done func([]Notice),
 ) {
-	wait := noticeTimeout
+	wait := pace.Timeout
 	for turn := 0; ; {
 		var batch []Notice
 		select {
@@ -58,7 +72,7 @@
 		case <-ctx.Done():
 			return
 		}
-		pause := backoff.Backoff{First: backoff.First, Last: backoff.Last}
+		pause := backoff.Backoff{First: backoff.First, Last: pace.LastPause}
 		for len(batch) > 0 {
 			some := batch[:min(len(batch), maxNotices)]
 			addr, here, cancel := at.Here(ctx, turn)
@@ -67,14 +81,14 @@
 			case err == nil:
 				batch = batch[len(some):]
 				pause.Reset()
-				wait = max(wait/2, noticeTimeout)
+				wait = max(wait/2, pace.Timeout)
 				done(some)
 			case here.Err() != nil:
 				pause.Reset() // it has moved, or the node ends
 			default:
 				turn++
 				if errors.Is(err, context.DeadlineExceeded) {
-					wait = max(wait, min(2*wait, patience))
+					wait = min(2*wait, pace.Patience)
 				}
 				log.Debug("notices_not_taken", "addr", addr, "count", len(some), "err", err)
 				backoff.Sleep(here, pause.Next())
--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -38,7 +38,7 @@
 	notices := make(chan []Notice, 1)
 	notices <- batch
 	settled := 0
-	Run(ctx, slog.New(slog.DiscardHandler), srv.Client(), listwatch.NewAddresses([]string{srv.Listener.Addr().String()}), 0, notices, func(done []Notice) {
+	Run(ctx, slog.New(slog.DiscardHandler), srv.Client(), listwatch.NewAddresses([]string{srv.Listener.Addr().String()}), AgentPace(), notices, func(done []Notice) {
 		if settled += len(done); settled >= count {
 			cancel()
 		}
@@ -59,7 +59,7 @@
 	posts := make(chan struct{}, 100)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		posts <- struct{}{}
-		time.Sleep(noticeTimeout * 3 / 2)
+		time.Sleep(serviceTimeout * 3 / 2)
 		w.WriteHeader(http.StatusNoContent)
 	}))
 	defer srv.Close()
@@ -68,7 +68,7 @@
 	notices := make(chan []Notice, 1)
 	notices <- []Notice{NewNotice(&journal.Message{ID: "a", Ended: &journal.Ending{}})}
 	settled := 0
-	Run(ctx, slog.New(slog.DiscardHandler), srv.Client(), listwatch.NewAddresses([]string{srv.Listener.Addr().String()}), SlowPatience, notices, func(done []Notice) {
+	Run(ctx, slog.New(slog.DiscardHandler), srv.Client(), listwatch.NewAddresses([]string{srv.Listener.Addr().String()}), ServicePace(), notices, func(done []Notice) {
 		settled += len(done)
 		cancel()
 	})
