Say how long a play and its injector were held up

A final answer that is late since the play itself did not run proves nothing about the node. The play logs the longest time that its process did not run and that its injector took for one call.

--- a/cmd/harrierramp/faultplay_test.go
+++ b/cmd/harrierramp/faultplay_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -172,6 +173,7 @@
 		return chooser(l, plan, dest, seed+endpoints)
 	})
 	l, s, n := play.ledger, play.schedule, play.node
+	stall := watchForStalls(t)
 	var clients sync.WaitGroup
 	for i := range playClients {
 		clients.Go(func() { (&faultClient{n: n, l: l, rng: rand.New(rand.NewPCG(seed, 100+uint64(i))), number: i}).run() })
@@ -195,7 +197,7 @@
 	broken := l.settle()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.Logf("%v\n%v", plan, l.figures)
+	t.Logf("%v\n%v\nthe play itself was held up for %v at the most, its injector for %v", plan, l.figures, stall(), n.injector.Slowest())
 	if l.figures["delivered"] < 100 || l.figures["reported failed"]+l.figures["reported returned"] == 0 {
 		t.Error("no verdict: too little was seen")
 	}
@@ -211,6 +213,21 @@
 	}
 }
 
+// watchForStalls begins to watch how long this process does not run, and returns what tells the longest time so far.
+func watchForStalls(t *testing.T) func() time.Duration {
+	var longest atomic.Int64
+	const tick = 5 * time.Millisecond
+	go func() {
+		for last := time.Now(); t.Context().Err() == nil; {
+			time.Sleep(tick)
+			now := time.Now()
+			longest.Store(max(longest.Load(), int64(now.Sub(last)-tick)))
+			last = now
+		}
+	}()
+	return func() time.Duration { return time.Duration(longest.Load()) }
+}
+
 // chooser draws an endpoint's replies.
 func chooser(l *faultLedger, plan faultPlan, dest int, seed uint64) func() reply {
 	var mu sync.Mutex
--- a/internal/lab/sysfault/injector.go
+++ b/internal/lab/sysfault/injector.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
+	"time"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
@@ -42,8 +44,12 @@
 	listener, pidfd, pid int
 	decide               func(Call) Verdict
 	done                 chan struct{}
+	slowest              atomic.Int64 // nanoseconds
 }
 
+// Slowest is the longest time that the Injector has taken to answer one call.
+func (in *Injector) Slowest() time.Duration { return time.Duration(in.slowest.Load()) }
+
 // Done is closed when the process has ended.
 func (in *Injector) Done() <-chan struct{} { return in.done }
 
@@ -66,7 +72,11 @@
 		if !in.control(unix.SECCOMP_IOCTL_NOTIF_RECV, unsafe.Pointer(&n)) {
 			continue // the thread was killed meanwhile
 		}
+		began := time.Now()
 		r := in.answer(&n)
+		if took := int64(time.Since(began)); took > in.slowest.Load() {
+			in.slowest.Store(took)
+		}
 		in.control(unix.SECCOMP_IOCTL_NOTIF_SEND, unsafe.Pointer(&r))
 	}
 }
