Read the configuration again where SIGHUP met a read that failed for a moment

What callers saw: after SIGHUP whose read of the new configuration failed once, final answers went to discovery's old address for good, and were never heard once that had closed (rule `lost`).

Cause: reload took one failed read for the answer and kept the old configuration until the next SIGHUP, which the platform has no reason to send. Now a read that failed for a reason that may pass is repeated for up to 5 s, as at a start.

TestAConfigurationThatCannotBeReadAtFirstIsTaken, real process, opening the file fails for 0.5 s: before, no final answer; now in time at the new address. Class: a failure of a moment taken for a lasting one.

--- a/cmd/harrierramp/faultnode_test.go
+++ b/cmd/harrierramp/faultnode_test.go
@@ -175,16 +175,19 @@
 	}
 }
 
+func (n *faultyNode) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		n.t.Error(err)
+	}
+}
+
 // restart ends the process, by SIGTERM first if it is asked to, and starts it again. Its folder stays.
 func (n *faultyNode) restart(leaves bool) {
 	n.ledger.down()
 	if leaves {
-		n.mu.Lock()
-		err := n.cmd.Process.Signal(syscall.SIGTERM)
-		n.mu.Unlock()
-		if err != nil && !errors.Is(err, os.ErrProcessDone) {
-			n.t.Error(err)
-		}
+		n.signal(syscall.SIGTERM)
 		time.Sleep(leaveTime)
 	}
 	n.kill()
--- a/cmd/harrierramp/faults_test.go
+++ b/cmd/harrierramp/faults_test.go
@@ -198,3 +198,25 @@
 		})
 	}
 }
+
+func TestAConfigurationThatCannotBeReadAtFirstIsTaken(t *testing.T) {
+	t.Parallel()
+	p := newFaultPlay(t, 1, nil, always(replyNever))
+	if got := p.handIn(t, "m", "payout", 2500*time.Millisecond); got != "+OK" {
+		t.Fatal(got)
+	}
+	next := newPlatform(t, p.ledger, p.platform.members)
+	p.node.configure(next.addr(), next.list(), faultSettings)
+	f := p.schedule.fail(500*time.Millisecond, fails(func(c sysfault.Call) bool {
+		return c.Number == unix.SYS_OPENAT && c.Path == p.node.config
+	}, syscall.ENFILE, syscall.EIO))
+	p.node.signal(syscall.SIGHUP)
+	time.Sleep(1500 * time.Millisecond) // then the old address ends
+	p.platform.srv.Listener.Close()
+	p.platform.srv.CloseClientConnections()
+	time.Sleep(1500 * time.Millisecond)
+	p.mustKeepTheRules(t)
+	if p.schedule.struck(f) == 0 {
+		t.Error("no verdict: no call has failed")
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -88,11 +88,7 @@
 	if s.File == "" && len(s.Sets) == 0 {
 		return errors.New("no configuration: give --config FILE or set ROUTER_CONFIG; 'harrierramp config example' prints one")
 	}
-	var cfg *config.Loaded
-	err := transient.Retry(ctx, startPatience, nil, func() (err error) {
-		cfg, err = config.Load(s)
-		return err
-	})
+	cfg, err := patientLoad(ctx, s)
 	if err != nil {
 		return err
 	}
@@ -145,16 +141,27 @@
 	log.Info("serving", "addr", ln.Addr())
 	go func() { // ends with the process
 		for range replaced {
-			cfg = reload(n, cfg, s, level, log)
+			cfg = reload(ctx, n, cfg, s, level, log)
 		}
 	}()
 	return n.Run(ctx, ln)
 }
 
+// patientLoad reads a configuration, again as long as its file can't be read for a reason that may pass.
+func patientLoad(ctx context.Context, s config.Sources) (loaded *config.Loaded, err error) {
+	err = transient.Retry(ctx, startPatience, nil, func() (err error) {
+		loaded, err = config.Load(s)
+		return err
+	})
+	return loaded, err
+}
+
 // reload reads the configuration again, and returns the one that holds. One that can't be read must not end the node,
 // which has a good one.
-func reload(n *node.Node, old *config.Loaded, s config.Sources, level *slog.LevelVar, log *slog.Logger) *config.Loaded {
-	next, err := config.Load(s)
+func reload(
+	ctx context.Context, n *node.Node, old *config.Loaded, s config.Sources, level *slog.LevelVar, log *slog.Logger,
+) *config.Loaded {
+	next, err := patientLoad(ctx, s)
 	if err != nil {
 		log.Error("config_kept", "err", err)
 		return old
