Keep a destination's wait on the monotonic clock

Need: the wall clock may step by an hour, and waits are real time.

Cause: Endpoint.Wait held the wall clock's time at which calls may begin again. A step forward ended every wait at once, and calls went to destinations that had asked to be left alone; a step back closed them for an hour, in which what was taken on met its time.

Now the wait has a type of its own that counts from the process's start on the monotonic clock.

--- a/internal/egress/cross_test.go
+++ b/internal/egress/cross_test.go
@@ -169,7 +169,7 @@
 	})
 	pool = NewPool(nil, dial, time.Minute, 16, 1, new(atomic.Int64))
 	t.Cleanup(pool.Close)
-	go pool.Do(t.Context(), testCall(&Endpoint{ID: "holder", Addr: p.Addr(), Wait: new(atomic.Int64)}))
+	go pool.Do(t.Context(), testCall(&Endpoint{ID: "holder", Addr: p.Addr(), Wait: new(Wait)}))
 	<-inside
 	return pool, func() { close(goOn) }
 }
@@ -185,7 +185,7 @@
 		"time has passed":            {func(*Call) {}, true},
 		"the endpoint is drained":    {func(c *Call) { c.Endpoint.Shut.Store(true) }, false},
 		"operators have taken it":    {func(c *Call) { c.Endpoint.Out.Store(true) }, false},
-		"a wait was told":            {func(c *Call) { c.Endpoint.Wait.Store(time.Now().Add(time.Minute).UnixNano()) }, false},
+		"a wait was told":            {func(c *Call) { c.Endpoint.Wait.Extend(time.Now().Add(time.Minute)) }, false},
 		"a repeat is no longer safe": {func(c *Call) { c.BeginBy = time.Now().Add(wait / 2) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/egress/pool_test.go
+++ b/internal/egress/pool_test.go
@@ -16,7 +16,7 @@
 )
 
 func endpointAt(addr string) *Endpoint {
-	return &Endpoint{ID: "e", Addr: addr, Wait: new(atomic.Int64)}
+	return &Endpoint{ID: "e", Addr: addr, Wait: new(Wait)}
 }
 
 func testPool() *Pool { return NewPool(nil, 2*time.Second, time.Minute, 16, 64, new(atomic.Int64)) }
@@ -247,7 +247,7 @@
 	p := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
 	drained, waiting := endpointAt(p.Addr()), endpointAt(p.Addr())
 	drained.Shut.Store(true)
-	waiting.Wait.Store(time.Now().Add(time.Hour).UnixNano())
+	waiting.Wait.Extend(time.Now().Add(time.Hour))
 	for _, e := range []*Endpoint{drained, waiting} {
 		if got := testPool().Do(t.Context(), testCall(e)); got.Outcome != choice.NotSent {
 			t.Errorf("got %+v", got)
@@ -263,7 +263,7 @@
 func TestCallsLeaveDescriptorsToOthers(t *testing.T) {
 	p, q := testkit.NewPartner(t, testkit.Says(testkit.Delivered)), testkit.NewPartner(t, testkit.Silent)
 	pool := NewPool(nil, 50*time.Millisecond, time.Minute, 16, 1, new(atomic.Int64))
-	e, f := endpointAt(p.Addr()), &Endpoint{ID: "f", Addr: q.Addr(), Wait: new(atomic.Int64)}
+	e, f := endpointAt(p.Addr()), &Endpoint{ID: "f", Addr: q.Addr(), Wait: new(Wait)}
 	if got := pool.Do(t.Context(), testCall(e)); !got.Closed {
 		t.Fatalf("got %+v", got)
 	}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -7,7 +7,6 @@
 	"maps"
 	"net"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"harrierramp/choice"
@@ -251,7 +250,7 @@
 func (n *Node) remoteEnded(e handover.EndedCall) called {
 	at := n.eps[e.Endpoint]
 	if at == nil {
-		at = &egress.Endpoint{ID: e.Endpoint, Wait: new(atomic.Int64)}
+		at = &egress.Endpoint{ID: e.Endpoint, Wait: new(egress.Wait)}
 	}
 	return called{attempt{e.ID, e.N}, at, egress.Result{
 		Outcome: e.Outcome, Wait: e.Wait, NoSlot: e.NoSlot, Closed: e.Closed, Reused: e.Reused, Report: e.Report,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,7 @@
 	awaits    atomic.Pointer[awaited]     // shared: nil once there is a list
 	// The list that is known comes from before the start, and no server has confirmed it yet.
 	unconfirmed bool
-	waits       map[int]*atomic.Int64 // of destinations whose endpoints share them
+	waits       map[int]*egress.Wait // of destinations whose endpoints share them
 	owed        []outbox.Notice       // not yet handed to the reporter
 	named       map[string]bool       // endpoints that a list has ever named
 	dests       map[int]bool          // all that a list has ever named
@@ -158,7 +158,7 @@
 		events:    make(chan any, eventQueue), notices: make(chan []outbox.Notice), asks: make(chan *handover.Link),
 		nudge:    make(chan struct{}, 1),
 		messages: map[string]*journal.Message{}, out: map[attempt]outCall{}, eps: map[string]*egress.Endpoint{},
-		waits: map[int]*atomic.Int64{}, dests: map[int]bool{}, named: map[string]bool{},
+		waits: map[int]*egress.Wait{}, dests: map[int]bool{}, named: map[string]bool{},
 	}
 	n.figures.OwnList, n.figures.Fellows = cfg.Registry != nil, cfg.Membership != nil
 	return n
@@ -667,12 +667,12 @@
 }
 
 // waitOf is where the waits are kept that bind an endpoint: its own if it is a route apart.
-func (n *Node) waitOf(e choice.Entry) *atomic.Int64 {
+func (n *Node) waitOf(e choice.Entry) *egress.Wait {
 	if kinds := n.cfg.Settings.Kinds; e.Kind >= 0 && e.Kind < len(kinds) && kinds[e.Kind].Apart {
-		return new(atomic.Int64)
+		return new(egress.Wait)
 	}
 	if n.waits[e.Dest] == nil {
-		n.waits[e.Dest] = new(atomic.Int64)
+		n.waits[e.Dest] = new(egress.Wait)
 	}
 	return n.waits[e.Dest]
 }
@@ -713,8 +713,7 @@
 		n.forget(m)
 	}
 	if e.Wait > 0 {
-		until := time.Now().Add(e.Wait).UnixNano()
-		e.endpoint.Wait.Store(max(until, e.endpoint.Wait.Load()))
+		e.endpoint.Wait.Extend(time.Now().Add(e.Wait))
 	}
 	return choice.Ended{
 		ID: e.id, Attempt: e.n, Endpoint: e.endpoint.ID, Outcome: e.Outcome, Took: e.took, Closed: e.Closed,
@@ -824,7 +823,7 @@
 	p, e := n.messages[a.ID], n.eps[a.Endpoint]
 	if e == nil {
 		// The list has just lost it; a call there is NotSent, and so proven not to have run.
-		e = &egress.Endpoint{ID: a.Endpoint, Wait: new(atomic.Int64)}
+		e = &egress.Endpoint{ID: a.Endpoint, Wait: new(egress.Wait)}
 		e.Shut.Store(true)
 	}
 	name, now := attempt{a.ID, len(p.Sends)}, time.Now()
