Hold clients' connections to the monotonic clock

Need: the wall clock may step by an hour, and deadlines are real time.

Cause: a connection's begin went through a form for other processes (ingress.Moved, Unix nanoseconds) and lost its monotonic reading.

TestAStepOfTheWallClockEndsNoConnection steps the wall clock's half of the begin and sends a request in two halves.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -275,8 +275,7 @@
 			}
 			continue
 		}
-		now := time.Now()
-		if !c.admit(nc, Moved{Since: now.UnixNano()}) {
+		if !c.admit(nc, start{since: time.Now()}) {
 			return
 		}
 	}
@@ -284,7 +283,7 @@
 
 // admit serves a connection. With all places taken, a newcomer gets that of the connection which has stood longest
 // between requests.
-func (c *Server) admit(nc net.Conn, m Moved) bool {
+func (c *Server) admit(nc net.Conn, s start) bool {
 	select {
 	case c.room <- struct{}{}:
 	default:
@@ -305,18 +304,36 @@
 		}()
 		return false
 	}
-	c.open[nc] = &peer{idle: true, since: time.Unix(0, m.Since), asked: m.Came > 0}
+	c.open[nc] = &peer{idle: true, since: s.since, asked: s.asked}
 	c.wg.Go(func() {
 		defer func() { <-c.room }()
-		c.serveConn(nc, m)
+		c.serveConn(nc, s)
 	})
 	return true
 }
 
 // Adopt serves a connection that another process of this node has accepted.
 func (c *Server) Adopt(nc net.Conn, m Moved) {
-	m.Came = max(m.Came, 1) // it is no newcomer
-	c.admit(nc, m)
+	now := time.Now()
+	s := start{since: recently(now, m.Since), asked: true, read: m.Raw}
+	if len(m.Raw) > 0 {
+		s.came = recently(now, m.Came)
+	}
+	c.admit(nc, s)
+}
+
+// start is where a connection stands when it is admitted. Its times are on the monotonic clock.
+type start struct {
+	since time.Time // of its last answer, or when it came
+	came  time.Time // the first byte of the request that was read; zero for none
+	read  []byte    // of requests without an answer
+	asked bool      // it has made a request
+}
+
+// recently is a moment of another process on the monotonic clock: not in the future, and not so long ago that a step of the
+// wall clock would end the connection.
+func recently(now time.Time, unixNano int64) time.Time {
+	return now.Add(-min(max(now.Sub(time.Unix(0, unixNano)), 0), requestTimeout))
 }
 
 // Pause accepts nothing until resume: newcomers stay in the socket's queue, which other processes serve.
@@ -507,8 +524,8 @@
 }
 
 // serveConn serves a connection to its end.
-func (c *Server) serveConn(nc net.Conn, m Moved) {
-	if c.converse(nc, m) {
+func (c *Server) serveConn(nc net.Conn, s start) {
+	if c.converse(nc, s) {
 		nc.Close() // our descriptor alone: the connection is another process's
 	} else {
 		c.hangUp(nc)
@@ -519,13 +536,10 @@
 }
 
 // converse answers requests until the connection is to end, or is passed on to another process.
-func (c *Server) converse(nc net.Conn, m Moved) (passed bool) {
-	t := &replayReader{src: nc, again: m.Raw}
+func (c *Server) converse(nc net.Conn, s start) (passed bool) {
+	t := &replayReader{src: nc, again: s.read}
 	r := bufio.NewReaderSize(t, 4096)
-	since, came, asked := time.Unix(0, m.Since), time.Time{}, m.Came > 0
-	if len(m.Raw) > 0 {
-		came = time.Unix(0, m.Came)
-	}
+	since, came, asked := s.since, s.came, s.asked
 	for {
 		t.restart(r)
 		// In this order: idle connections are called back by their deadline.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -198,7 +198,7 @@
 				began := time.Now()
 				var acting sync.WaitGroup
 				acting.Go(func() { act(far) })
-				c.serveConn(near, Moved{Since: time.Now().UnixNano()})
+				c.serveConn(near, start{since: time.Now()})
 				if took := time.Since(began); took > 2900*time.Millisecond {
 					t.Errorf("closed after %s", took)
 				}
@@ -279,3 +279,48 @@
 		t.Errorf("%d messages beside the whole one", len(handed))
 	}
 }
+
+// The wall clock is stepped between a connection's begin, or its last answer, and its next request: the request is read as
+// ever.
+func TestAStepOfTheWallClockEndsNoConnection(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			c := NewServer(nil, 1, testkit.TestNames, func(Request) Answer { return Answer{} })
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			client, br := testkit.DialTest(t, ln.Addr().String())
+			served, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.open[served] = &peer{idle: true, since: time.Now()}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				c.serveConn(served, start{since: testkit.StepWallClock(time.Now(), step)})
+			}()
+			request := testkit.Enqueue("a", "c=notice,d=1000,dest=1", "body")
+			if _, err := io.WriteString(client, request[:len(request)/2]); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond) // the first half has been read
+			testkit.MustSay(t, client, br, request[len(request)/2:], "+OK")
+			client.Close()
+			<-done
+		})
+	}
+}
+
+// What another process says of a connection may have been written before a step of the wall clock.
+func TestAPassedConnectionSurvivesAStepOfTheWallClock(t *testing.T) {
+	now := time.Now()
+	for _, age := range []time.Duration{-time.Hour, 0, 100 * time.Millisecond, time.Hour} {
+		got := now.Sub(recently(now, now.Add(-age).UnixNano()))
+		if want := min(max(age, 0), requestTimeout); (got - want).Abs() > time.Microsecond {
+			t.Errorf("%v old: taken for %v", age, got)
+		}
+	}
+}
