Keep deadlines and windows over a restart although the wall clock was set

Need: the wall clock may step by an hour, and deadlines and windows are real time.

After a step forward the next process ended all that it found as overdue; after a step back it took messages for alive whose time had long been up, kept their final answers back for an hour, and repeated what its window forbade.

Left: a step between a kill and the next start can't be told.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -386,6 +386,21 @@
 // giveUp drops what is queued: only a new file can hold what is live.
 func (j *Journal) giveUp() { j.pending, j.broken = nil, true }
 
+// Restamp changes the times of all that is live, and writes it to a new file. After an error the times have changed here
+// alone, and it is to be called again.
+func (j *Journal) Restamp(change func(time.Time) time.Time) error {
+	for _, p := range j.live {
+		p.Deadline = change(p.Deadline)
+		for i := range p.Sends {
+			p.Sends[i].At = change(p.Sends[i].At)
+		}
+	}
+	if len(j.live) == 0 {
+		return nil
+	}
+	return j.compact()
+}
+
 // recover writes the new file that a broken journal needs. What has been queued meanwhile is live, and so in it.
 func (j *Journal) recover() error {
 	if j.torn && j.rewind() == nil {
--- /dev/null
+++ b/internal/node/clockstep_test.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"harrierramp/internal/ingress"
+	"harrierramp/internal/journal"
+	"harrierramp/internal/testkit"
+)
+
+// A wall clock that is set while a node runs changes no deadline or window, neither here nor in the next process.
+func TestAStepOfTheWallClockChangesNoDeadline(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, time.Hour} {
+		state, began := t.TempDir(), time.Now()
+		n := &Node{
+			journal: openJournalAt(t, state), messages: map[string]*journal.Message{}, dests: map[int]bool{7: true}, start: began,
+			wallClock: wallClock{began: began}, log: slog.New(slog.DiscardHandler),
+		}
+		if _, ok := n.accept(arrival{Request: ingress.Request{ID: "a", Tenant: -1, Dest: 7, Life: 50 * time.Second, Came: began}}); !ok {
+			t.Fatal("not taken on")
+		}
+		n.journal.Attempt(n.messages["a"], journal.Send{At: began})
+		flushJournal(t, n.journal)
+		deadline, sent := n.at(n.messages["a"].Deadline), n.at(n.messages["a"].Sends[0].At)
+
+		now := testkit.StepWallClock(time.Now(), step)
+		n.restamp(now)
+		if got := n.at(n.messages["a"].Deadline); (got - deadline).Abs() > time.Millisecond {
+			t.Errorf("%v: its time is %v later", step, got-deadline)
+		}
+		found := openJournalAt(t, state).Owed()[0]
+		if left := found.Deadline.Sub(now.Round(0)); (left - 50*time.Second).Abs() > time.Second {
+			t.Errorf("%v: the next process finds %v left of 50 s", step, left)
+		}
+		if got := found.Sends[0].At.Sub(found.Deadline) - (sent - deadline); got.Abs() > time.Millisecond {
+			t.Errorf("%v: its attempt is %v later", step, got)
+		}
+		if n.wallClock.stepped(now) != 0 {
+			t.Errorf("%v is noticed twice", step)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,21 +97,22 @@
 	kept      *listwatch.Kept             // of the last good list; nil if it is not kept
 	cold      *coldstart.Start            // what the start waits for; nil where the platform names the list
 	stale     listwatch.List              // a kept list that is not in force
-	began     time.Time                   // of this process
-	why       atomic.Pointer[string]      // shared: the list may be late, last; nil for never
-	awaits    atomic.Pointer[awaited]     // shared: nil once there is a list
+	wallClock wallClock
+	began     time.Time               // of this process
+	why       atomic.Pointer[string]  // shared: the list may be late, last; nil for never
+	awaits    atomic.Pointer[awaited] // shared: nil once there is a list
 	// The list that is known comes from before the start, and no server has confirmed it yet.
 	unconfirmed bool
 	waits       map[int]*egress.Wait // of destinations whose endpoints share them
-	owed        []outbox.Notice       // not yet handed to the reporter
-	named       map[string]bool       // endpoints that a list has ever named
-	dests       map[int]bool          // all that a list has ever named
-	held        int                   // messages without their final answer
-	guarded     guarded               // what the records that are not yet written guard
-	withdrawn   []choice.Event        // ends of calls that could not be journaled, for the next step
-	cancelled   []attempt             // by this step
-	obeyed      []obeyed              // orders that hold after this step
-	wakeAt      time.Duration         // of the module; 0 none
+	owed        []outbox.Notice      // not yet handed to the reporter
+	named       map[string]bool      // endpoints that a list has ever named
+	dests       map[int]bool         // all that a list has ever named
+	held        int                  // messages without their final answer
+	guarded     guarded              // what the records that are not yet written guard
+	withdrawn   []choice.Event       // ends of calls that could not be journaled, for the next step
+	cancelled   []attempt            // by this step
+	obeyed      []obeyed             // orders that hold after this step
+	wakeAt      time.Duration        // of the module; 0 none
 	calls       sync.WaitGroup
 }
 
@@ -160,6 +161,7 @@
 		messages: map[string]*journal.Message{}, out: map[attempt]outCall{}, eps: map[string]*egress.Endpoint{},
 		waits: map[int]*egress.Wait{}, dests: map[int]bool{}, named: map[string]bool{},
 	}
+	n.wallClock.began = n.began
 	n.figures.OwnList, n.figures.Fellows = cfg.Registry != nil, cfg.Membership != nil
 	return n
 }
@@ -435,7 +437,7 @@
 	if n.cold != nil && n.cold.Wake() > 0 {
 		wait = min(wait, max(n.cold.Wake()-n.now(), 0))
 	}
-	return min(wait, n.fellows.wait(n.now()), n.audit.wait(n.now()), n.ward.wait(n.now()))
+	return min(wait, n.untilClockLook(), n.fellows.wait(n.now()), n.audit.wait(n.now()), n.ward.wait(n.now()))
 }
 
 // take turns a batch into the module's events, and steps.
@@ -443,6 +445,7 @@
 	began := time.Now()
 	defer func() { n.figures.Stepped(time.Since(began)) }()
 	n.look()
+	n.restamp(began)
 	events := n.withdrawn
 	n.withdrawn = nil
 	fresh := map[string]arrival{}
