Take a lack of sockets for no endpoint's outage

Cause: egress told every error of a dial as ConnectFailed, also ENFILE, ENOBUFS, EADDRNOTAVAIL and ENETUNREACH, which this machine answers itself; every destination looked struck at once.

Now a dial that failed so is repeated each 20 ms for a quarter of a second, within the dial's own time. Where the machine still has no descriptor or memory the call counts as not sent; without an address or a route it counts as before, since that may be one endpoint's.

TestACallOutlastsAMomentWithoutSockets: without the change, ConnectFailed in the five cases that now end otherwise. Class: a fault of one's own told as another's.

--- /dev/null
+++ b/internal/egress/local_test.go
@@ -0,0 +1,53 @@
+package egress
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"harrierramp/choice"
+	"harrierramp/internal/testkit"
+)
+
+// What this machine lacks for a moment is no endpoint's outage.
+func TestACallOutlastsAMomentWithoutSockets(t *testing.T) {
+	partner := testkit.NewPartner(t, testkit.Says(testkit.Delivered))
+	failed := func(call string, errno syscall.Errno) error {
+		return &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError(call, errno)}
+	}
+	for name, c := range map[string]struct {
+		err   error
+		times int
+		want  choice.Outcome
+	}{
+		"no descriptors":            {failed("socket", syscall.ENFILE), 5, choice.Pass},
+		"no buffers":                {failed("socket", syscall.ENOBUFS), 5, choice.Pass},
+		"no address":                {failed("connect", syscall.EADDRNOTAVAIL), 5, choice.Pass},
+		"no route":                  {failed("connect", syscall.ENETUNREACH), 5, choice.Pass},
+		"no descriptors for long":   {failed("socket", syscall.EMFILE), 1000, choice.NotSent},
+		"no route for long":         {failed("connect", syscall.ENETUNREACH), 1000, choice.ConnectFailed},
+		"the endpoint is not there": {failed("connect", syscall.ECONNREFUSED), 1, choice.ConnectFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, tries := testPool(), 0
+			connect := p.connect
+			p.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if tries++; tries <= c.times {
+					return nil, c.err
+				}
+				return connect(ctx, network, addr)
+			}
+			began := time.Now()
+			if got := p.Do(t.Context(), testCall(endpointAt(partner.Addr()))); got.Outcome != c.want {
+				t.Errorf("got %v after %d dials and %v, want %v", got.Outcome, tries, time.Since(began), c.want)
+			}
+			if len(p.places) > 1 {
+				t.Errorf("%d places are taken", len(p.places))
+			}
+		})
+	}
+}
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -16,10 +16,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"harrierramp/choice"
 	"harrierramp/internal/nowait"
+	"harrierramp/internal/transient"
 )
 
 // net/http's Transport is not used for calls: it takes a request with an Idempotency-Key for replayable and
@@ -38,6 +40,7 @@
 	// brings the rest in answerRest. What follows a first line with 200 says nothing more, and only decides whether the
 	// connection serves again; so it is not worth holding the slot for longer than a slow round trip.
 	answerRest    = time.Second
+	localPatience = 250 * time.Millisecond // for this machine to have a socket, an address and a route again
 	deliveredRest = 250 * time.Millisecond
 )
 
@@ -71,7 +74,7 @@
 // Pool makes calls, on connections that it keeps between them.
 type Pool struct {
 	dialTimeout, idleFor time.Duration
-	source               net.Addr // where connections come from; nil for the system's choice
+	connect              func(ctx context.Context, network, addr string) (net.Conn, error)
 	maxIdle              int
 	places               chan struct{}   // one taken for each connection
 	tries                *atomic.Int64   // messages written whole
@@ -101,7 +104,7 @@
 	}
 	sealed, seal := context.WithCancel(context.Background())
 	return &Pool{
-		sealed: sealed, seal: seal, source: source, dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
+		sealed: sealed, seal: seal, connect: (&net.Dialer{LocalAddr: source}).DialContext, dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
 		places: make(chan struct{}, most), tries: tries, idle: map[string][]*conn{},
 	}
 }
@@ -169,9 +172,17 @@
 	if errors.As(err, &late) && late.Timeout() && waited > p.dialTimeout/10 {
 		return nil, errNoPlace // what was left of the time says nothing of the endpoint
 	}
+	if err != nil && lacksRoom(err) {
+		return nil, fmt.Errorf("%w: %w", errNoPlace, err)
+	}
 	return k, err
 }
 
+// lacksRoom tells that this machine had no descriptor or memory for a socket, which says nothing of the endpoint.
+func lacksRoom(err error) bool {
+	return errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
 func encodeRequest(c Call) ([]byte, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+c.Endpoint.Addr+"/v1/messages", bytes.NewReader(c.Body))
 	if err != nil {
@@ -225,8 +236,11 @@
 
 // dial opens a connection in a place that was taken for it.
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{LocalAddr: p.source}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	var nc net.Conn
+	err := transient.RetryLocal(ctx, min(localPatience, p.dialTimeout/2), func() (err error) {
+		nc, err = p.connect(ctx, "tcp", addr)
+		return err
+	})
 	ended := sync.OnceFunc(func() { <-p.places })
 	if err != nil {
 		ended()
--- a/internal/transient/transient.go
+++ b/internal/transient/transient.go
@@ -12,8 +12,11 @@
 	"harrierramp/internal/backoff"
 )
 
-// Pause is between two tries.
-const Pause = 50 * time.Millisecond
+// Pauses between two tries.
+const (
+	Pause      = 50 * time.Millisecond
+	localPause = 20 * time.Millisecond
+)
 
 // localErrnos say that this machine was short of something, or could not do what it usually can. They say nothing of a peer.
 var localErrnos = []syscall.Errno{
@@ -38,15 +41,23 @@
 // Retry repeats do while its error may pass, until patience is over or ctx ends, and returns its last error. failed, if it
 // is not nil, hears of each failure that is tried again.
 func Retry(ctx context.Context, patience time.Duration, failed func(error), do func() error) error {
-	for end := time.Now().Add(patience); ; {
-		err := do()
-		if err == nil || !Is(err) || time.Now().After(end) {
-			return err
-		}
-		if failed != nil {
+	return repeat(ctx, patience, Pause, func(err error) bool {
+		if Is(err) && failed != nil {
 			failed(err)
 		}
-		if !backoff.Sleep(ctx, Pause) {
+		return Is(err)
+	}, do)
+}
+
+// RetryLocal is Retry for what is wanted at once: only while its error is Local, and with short pauses.
+func RetryLocal(ctx context.Context, patience time.Duration, do func() error) error {
+	return repeat(ctx, patience, localPause, Local, do)
+}
+
+func repeat(ctx context.Context, patience, pause time.Duration, passes func(error) bool, do func() error) error {
+	for end := time.Now().Add(patience); ; {
+		err := do()
+		if err == nil || time.Now().After(end) || !passes(err) || !backoff.Sleep(ctx, pause) {
 			return err
 		}
 	}
