Go on with a stream whose read or write had no memory for a moment

What callers saw: a request that had been written whole got an end of its connection and no answer, also on a new connection (rule `lost`), after one read or write of it had failed with ENOMEM or ENOBUFS.

Cause: ingress gave a connection up at any error of a read or write but a deadline, although the connection stood. egress took such a read for a reset, after which a message that must not run twice is failed.

Now transient.Reader and transient.Write go on after errors that are this machine's own and may pass, within the deadlines that the connection has.

The random plays draw this fault too. Class: a failure of a moment taken for a lasting one.

--- a/cmd/harrierramp/faultnode_test.go
+++ b/cmd/harrierramp/faultnode_test.go
@@ -445,3 +445,14 @@
 	}
 	return sysfault.Verdict{}
 }
+
+// withoutMemory has a third of the reads and writes of sockets fail for want of memory or buffers.
+func withoutMemory(c sysfault.Call, rng *rand.Rand) sysfault.Verdict {
+	if !c.Socket || rng.IntN(3) > 0 {
+		return sysfault.Verdict{}
+	}
+	if c.Number == unix.SYS_WRITE {
+		return sysfault.Verdict{Errno: syscall.ENOBUFS}
+	}
+	return sysfault.Verdict{Errno: syscall.ENOMEM}
+}
--- a/cmd/harrierramp/faultplay_test.go
+++ b/cmd/harrierramp/faultplay_test.go
@@ -72,6 +72,7 @@
 	{"accepts", 20 * time.Millisecond, 200 * time.Millisecond, func(*rand.Rand) *fault {
 		return &fault{decide: fails(numbered(unix.SYS_ACCEPT4), syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.EMFILE)}
 	}},
+	{"streams without memory", 20 * time.Millisecond, 200 * time.Millisecond, func(*rand.Rand) *fault { return &fault{decide: withoutMemory} }},
 	{"interrupted calls", 200 * time.Millisecond, 2 * time.Second, func(*rand.Rand) *fault { return &fault{decide: interrupted} }},
 	{"short reads and writes", 200 * time.Millisecond, 2 * time.Second, func(*rand.Rand) *fault { return &fault{decide: short} }},
 }
--- a/cmd/harrierramp/faults_test.go
+++ b/cmd/harrierramp/faults_test.go
@@ -220,3 +220,21 @@
 		t.Error("no verdict: no call has failed")
 	}
 }
+
+// A request that has been read is answered, although reads and writes of its connection fail for a moment.
+func TestRequestsAreAnsweredWhileStreamsLackMemory(t *testing.T) {
+	t.Parallel()
+	p := newFaultPlay(t, 1, nil, always(replyDelivered))
+	f := p.schedule.fail(time.Minute, withoutMemory)
+	for i := range 40 {
+		if got := p.handIn(t, fmt.Sprint("m", i), "status", time.Second); got != "+OK" {
+			t.Errorf("%d: %q", i, got)
+		}
+	}
+	p.schedule.over(f)
+	time.Sleep(1500 * time.Millisecond)
+	p.mustKeepTheRules(t)
+	if p.schedule.struck(f) < 20 {
+		t.Error("no verdict: too few calls have failed")
+	}
+}
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -250,7 +250,7 @@
 }
 
 func newConn(nc net.Conn, addr string, ended func()) *conn {
-	l := &io.LimitedReader{R: nc}
+	l := &io.LimitedReader{R: transient.Reader(nc)}
 	return &conn{Conn: nc, addr: addr, limit: l, br: bufio.NewReaderSize(l, 4096), ended: ended}
 }
 
@@ -258,7 +258,7 @@
 // tells that the connection is good for another call.
 func (k *conn) exchange(ctx context.Context, request []byte, tries *atomic.Int64) (res Result, reuse bool) {
 	writing := time.Now()
-	if n, err := k.Write(request); err != nil && n < len(request) {
+	if n, err := transient.Write(k, request); err != nil && n < len(request) {
 		return Result{Outcome: choice.ConnectFailed}, false // without its last byte the endpoint has not begun it
 	}
 	wrote := time.Now()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,6 +18,7 @@
 
 	"harrierramp/internal/backoff"
 	"harrierramp/internal/nowait"
+	"harrierramp/internal/transient"
 	"harrierramp/internal/wire"
 )
 
@@ -537,7 +538,7 @@
 
 // converse answers requests until the connection is to end, or is passed on to another process.
 func (c *Server) converse(nc net.Conn, s start) (passed bool) {
-	t := &replayReader{src: nc, again: s.read}
+	t := &replayReader{src: transient.Reader(nc), again: s.read}
 	r := bufio.NewReaderSize(t, 4096)
 	since, came, asked := s.since, s.came, s.asked
 	for {
@@ -595,7 +596,7 @@
 		if nc.SetWriteDeadline(time.Now().Add(requestTimeout)) != nil {
 			return false
 		}
-		if _, failed := io.WriteString(nc, line); failed != nil || errors.Is(err, errProtocol) {
+		if _, failed := transient.Write(nc, []byte(line)); failed != nil || errors.Is(err, errProtocol) {
 			return false
 		}
 		since, came, asked = time.Now(), time.Time{}, true
--- a/internal/transient/transient_test.go
+++ b/internal/transient/transient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -64,3 +65,54 @@
 		}
 	})
 }
+
+// scarce is a stream that fails each second time, and transfers a byte otherwise.
+type scarce struct {
+	text  []byte
+	calls int
+	err   error
+}
+
+func (s *scarce) transfer() error {
+	if s.calls++; s.calls%2 == 1 {
+		return &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ENOMEM)}
+	}
+	return nil
+}
+
+func (s *scarce) Read(p []byte) (int, error) {
+	if err := s.transfer(); err != nil {
+		return 0, err
+	}
+	if len(s.text) == 0 {
+		return 0, s.err
+	}
+	p[0], s.text = s.text[0], s.text[1:]
+	return 1, nil
+}
+
+func (s *scarce) Write(p []byte) (int, error) {
+	s.text = append(s.text, p[0])
+	if len(p) == 1 {
+		return 1, s.err
+	}
+	return 1, &net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.ENOBUFS)}
+}
+
+func TestStreamsOutlastALackOfMemory(t *testing.T) {
+	got, err := io.ReadAll(Reader(&scarce{text: []byte("text"), err: io.EOF}))
+	if string(got) != "text" || err != nil {
+		t.Errorf("read %q, %v", got, err)
+	}
+	if _, err := Reader(&scarce{err: os.ErrDeadlineExceeded}).Read(make([]byte, 1)); err != os.ErrDeadlineExceeded {
+		t.Errorf("got %v", err)
+	}
+	var out scarce
+	if n, err := Write(&out, []byte("text")); n != 4 || err != nil || string(out.text) != "text" {
+		t.Errorf("%d bytes, %q, %v", n, out.text, err)
+	}
+	out.err = syscall.EPIPE
+	if n, err := Write(&out, []byte("t")); n != 1 || err != syscall.EPIPE {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
