Cut off what a failed write has left of notices before the next are written

What operators saw, by reading: a list server that had failed to write notices, and to cut off the half that was written, refused to start later.

Cause: reports.add wrote the next lines over the rest; where these are shorter, a part of a line stays behind them, which scan takes for damage.

Now the rest is cut off first, and nothing is taken until that works.

TestNoticesAreReadableAfterATornWrite failed before: the file could not be opened again (byte 125 is no line).

--- a/internal/registry/reports.go
+++ b/internal/registry/reports.go
@@ -63,6 +63,7 @@
 	size  int64
 	first int64 // the number that the newer file begins after
 	next  int64
+	torn  bool // what a failed add has written may stand behind size
 }
 
 func openReports(dir string, most int64) (*reports, error) {
@@ -128,14 +129,31 @@
 			return fmt.Errorf("reports: %w", err)
 		}
 	}
+	if err := r.cut(); err != nil {
+		return err
+	}
 	if _, err := r.f.WriteAt(b.Bytes(), r.size); err != nil {
-		return fmt.Errorf("reports: %w", errors.Join(err, r.f.Truncate(r.size)))
+		r.torn = true
+		return fmt.Errorf("reports: %w", errors.Join(err, r.cut()))
 	}
 	r.size += int64(b.Len())
 	r.next += int64(len(notices))
 	return nil
 }
 
+// cut takes away what a failed add may have written. Shorter lines in its place would leave a part of it, which no start
+// could read.
+func (r *reports) cut() error {
+	if !r.torn {
+		return nil
+	}
+	if err := r.f.Truncate(r.size); err != nil {
+		return fmt.Errorf("reports: the torn end can't be cut: %w", err)
+	}
+	r.torn = false
+	return nil
+}
+
 // turn begins a new file.
 func (r *reports) turn() error {
 	if err := os.Rename(r.path, r.path+".old"); err != nil {
