Open the socket for notes again where a start had none to spare

Cause: listenToPeers gave up after 0.2 s, whatever the error, and the node went without notes of the others, and so without its part of shared limits, until its next start. Found by reading, in looking for failures of a moment that are taken for lasting ones.

Now errors that may pass are tried again for as long as a start may take; an address that is in use has its 0.2 s as before. Covered by the start tests only as far as sockets fail (no peers there).

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -14,6 +14,7 @@
 	"harrierramp/internal/config"
 	"harrierramp/internal/membership"
 	"harrierramp/internal/straggler"
+	"harrierramp/internal/transient"
 )
 
 const (
@@ -29,7 +30,7 @@
 	numbers map[netip.AddrPort]int
 }
 
-// listenToPeers opens the socket for notes. At an upgrade the process before may hold it for some moments more. Without an address for it, or without other nodes, there are none.
+// listenToPeers opens the socket for notes. Without an address for it, or without other nodes, there are none.
 func listenToPeers(ctx context.Context, cfg config.Config) (*peers, error) {
 	if cfg.PeerListen == "" || !cfg.Settings.MayTell || len(cfg.Peers) < 2 {
 		return nil, nil
@@ -47,15 +48,25 @@
 	if err != nil {
 		return nil, err
 	}
+	err = transient.Retry(ctx, startPatience, nil, func() error {
+		p.conn, err = listenUDP(ctx, at)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// listenUDP opens a socket whose address a process before may hold for some moments more.
+func listenUDP(ctx context.Context, at netip.AddrPort) (conn *net.UDPConn, err error) {
 	for range peerTries {
-		if p.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)); err == nil {
-			return p, nil
-		}
-		if !backoff.Sleep(ctx, peerPause) {
+		conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+		if err == nil || !backoff.Sleep(ctx, peerPause) {
 			break
 		}
 	}
-	return nil, err
+	return conn, err
 }
 
 // receive hands on what other nodes send, until the socket is closed. What comes from elsewhere is counted.
