--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -225,6 +226,7 @@
 	served chan struct{} // closed when nothing more is accepted
 	names  wire.Names
 	hand   func(Request) Answer
+	log    *slog.Logger
 	await  func() string // what keeps the node from taking messages; nil for never anything
 
 	mu     sync.Mutex
@@ -252,10 +254,13 @@
 func NewServer(ln net.Listener, most int, names wire.Names, hand func(Request) Answer) *Server {
 	return &Server{
 		ln: ln, room: make(chan struct{}, max(most, 1)), stop: make(chan struct{}), served: make(chan struct{}),
-		names: names, hand: hand, open: map[net.Conn]*peer{},
+		names: names, hand: hand, open: map[net.Conn]*peer{}, log: slog.New(slog.DiscardHandler),
 	}
 }
 
+// LogTo has the end of each connection logged, at debug. It is called before Serve.
+func (c *Server) LogTo(log *slog.Logger) { c.log = log }
+
 // Await has PING say no while why says what the node waits for. It is called before Serve.
 func (c *Server) Await(why func() string) { c.await = why }
 
@@ -526,40 +531,56 @@
 
 // serveConn serves a connection to its end.
 func (c *Server) serveConn(nc net.Conn, s start) {
-	if c.converse(nc, s) {
+	reason, err := c.converse(nc, s)
+	if reason == closePassedOn {
 		nc.Close() // our descriptor alone: the connection is another process's
 	} else {
 		c.hangUp(nc)
 	}
+	c.log.Debug("client_closed", "client", nc.RemoteAddr(), "reason", reason, "err", err)
 	c.mu.Lock()
 	delete(c.open, nc)
 	c.mu.Unlock()
 }
 
-// converse answers requests until the connection is to end, or is passed on to another process.
-func (c *Server) converse(nc net.Conn, s start) (passed bool) {
+// closeReason is why a connection ends, for the log.
+type closeReason string
+
+const (
+	closePassedOn   closeReason = "passed on to another process"
+	closeResting    closeReason = "ended between requests" // by Drain, Close or for a newcomer
+	closeNoRequest  closeReason = "no request"             // in time, or the client is gone
+	closeHalf       closeReason = "half a request"         // the rest did not come in time, or the client is gone
+	closeUnread     closeReason = "the answer can't be written"
+	closeNoProtocol closeReason = "not the protocol"
+	closeBroken     closeReason = "the connection is broken"
+)
+
+// converse answers requests until the connection is to end, or is passed on to another process. The error is what the
+// connection said, if anything.
+func (c *Server) converse(nc net.Conn, s start) (closeReason, error) {
 	t := &replayReader{src: transient.Reader(nc), again: s.read}
 	r := bufio.NewReaderSize(t, 4096)
 	since, came, asked := s.since, s.came, s.asked
 	for {
 		t.restart(r)
 		// In this order: idle connections are called back by their deadline.
-		if nc.SetDeadline(since.Add(idleTimeout)) != nil {
-			return false
+		if err := nc.SetDeadline(since.Add(idleTimeout)); err != nil {
+			return closeBroken, err
 		}
 		if r.Buffered() == 0 && len(t.again) == 0 && !c.mark(nc, true, since) {
 			if !c.moving() {
-				return false
+				return closeResting, nil
 			} else if c.moved(nc, t, since, came) {
-				return true
+				return closePassedOn, nil
 			}
 			continue
 		}
 		if _, err := r.Peek(1); err != nil && !lastLook(nc, t, err) {
 			if !c.moving() || !errors.Is(err, os.ErrDeadlineExceeded) {
-				return false
+				return closeNoRequest, err
 			} else if c.moved(nc, t, since, came) {
-				return true
+				return closePassedOn, nil
 			}
 			continue
 		}
@@ -571,8 +592,8 @@
 		if first := since.Add(firstTimeout); !asked && first.Before(until) {
 			until = first
 		}
-		if nc.SetDeadline(until) != nil {
-			return false
+		if err := nc.SetDeadline(until); err != nil {
+			return closeBroken, err
 		}
 		args, err := readCommand(r)
 		var line string
@@ -584,25 +605,34 @@
 			line = c.command(args, came)
 			for line == movedLine {
 				if c.moved(nc, t, since, came) {
-					return true
+					return closePassedOn, nil
 				}
 				line = c.command(args, came)
 			}
 		case errors.Is(err, errTooLarge), errors.Is(err, errProtocol):
 			line = Answer{Failed: err.Error()}.line()
 		default:
-			return false // the client went away inside a request
+			return closeHalf, err
 		}
-		if nc.SetWriteDeadline(time.Now().Add(requestTimeout)) != nil {
-			return false
+		if failed := answer(nc, line); failed != nil {
+			return closeUnread, failed
 		}
-		if _, failed := transient.Write(nc, []byte(line)); failed != nil || errors.Is(err, errProtocol) {
-			return false
+		if errors.Is(err, errProtocol) {
+			return closeNoProtocol, err
 		}
 		since, came, asked = time.Now(), time.Time{}, true
 	}
 }
 
+// answer writes one line within the time that a client has to read it.
+func answer(nc net.Conn, line string) error {
+	if err := nc.SetWriteDeadline(time.Now().Add(requestTimeout)); err != nil {
+		return err
+	}
+	_, err := transient.Write(nc, []byte(line))
+	return err
+}
+
 // moving tells that connections go to another process.
 func (c *Server) moving() bool {
 	c.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,6 +207,7 @@
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
 	n.clients = ingress.NewServer(ln, n.cfg.Limits.Sockets/3, n.cfg.Names, func(q ingress.Request) ingress.Answer { return n.hand(life, q) })
+	n.clients.LogTo(n.log)
 	n.clients.Await(n.awaiting)
 	n.clients.Pause()
 	parts.Go(func() { n.clients.Serve(life) })
@@ -498,6 +499,8 @@
 				continue
 			}
 			if refusal, ok := n.accept(e); !ok {
+				n.log.Debug("request_answered", "msg_id", e.ID, "refused", refusal.Refused, "after", refusal.After, "failed", refusal.Failed,
+					"journal_down", n.journal.Down(), "held", n.held)
 				e.reply <- refusal
 				continue
 			}
