--- a/internal/transient/transient_test.go
+++ b/internal/transient/transient_test.go
@@ -116,3 +116,26 @@
 		t.Errorf("%d bytes, %v", n, err)
 	}
 }
+
+// unreachable is a stream whose first calls fail since its peer can't be reached.
+type unreachable struct{ fails, calls int }
+
+func (u *unreachable) Read(p []byte) (int, error) { return u.Write(p) }
+
+func (u *unreachable) Write(p []byte) (int, error) {
+	if u.calls++; u.calls <= u.fails {
+		return 0, &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.EHOSTUNREACH)}
+	}
+	return len(p), nil
+}
+
+func TestAPeerThatCannotBeReachedIsAskedOnceMore(t *testing.T) {
+	for fails, want := range []error{nil, nil, syscall.EHOSTUNREACH} {
+		if _, err := Reader(&unreachable{fails: fails}).Read(make([]byte, 1)); !errors.Is(err, want) {
+			t.Errorf("read, %d failures: %v", fails, err)
+		}
+		if _, err := Write(&unreachable{fails: fails}, []byte("x")); !errors.Is(err, want) {
+			t.Errorf("write, %d failures: %v", fails, err)
+		}
+	}
+}
