--- a/cmd/harrierramp/faultplay_test.go
+++ b/cmd/harrierramp/faultplay_test.go
@@ -23,7 +23,7 @@
 
 var (
 	faultSeed  = flag.Uint64("faults.seed", 1, "the first seed of TestNothingIsLostWhileCallsFail")
-	faultSeeds = flag.Int("faults.seeds", 2, "how many seeds it plays")
+	faultSeeds = flag.Int("faults.seeds", 12, "how many seeds it plays")
 )
 
 const (
