--- /dev/null
+++ b/internal/journal/records.go
@@ -0,0 +1,106 @@
+package journal
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"time"
+)
+
+func readRecord(r io.Reader) ([]byte, error) {
+	var head [recordHead]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.LittleEndian.Uint32(head[:])
+	if n == 0 || n > maxRecord {
+		return nil, fmt.Errorf("%w: of impossible length", errDamaged)
+	}
+	payload := make([]byte, n)
+	if _, err := io.ReadFull(r, payload); errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	} else if err != nil {
+		return nil, err
+	}
+	if crc32.ChecksumIEEE(payload) != binary.LittleEndian.Uint32(head[4:]) {
+		return nil, fmt.Errorf("%w: with a wrong checksum", errDamaged)
+	}
+	return payload, nil
+}
+
+// fields reads the fields of a payload; bad is set when it is too short.
+type fields struct {
+	b   []byte
+	bad bool
+}
+
+func (f *fields) number() uint64 {
+	v, n := binary.Uvarint(f.b)
+	if n <= 0 {
+		f.bad, f.b = true, nil
+		return 0
+	}
+	f.b = f.b[n:]
+	return v
+}
+
+func (f *fields) bytes() []byte {
+	n := f.number()
+	if n > uint64(len(f.b)) {
+		f.bad, f.b = true, nil
+		return nil
+	}
+	v := f.b[:n]
+	f.b = f.b[n:]
+	return v
+}
+
+func (f *fields) time() time.Time { return time.UnixMicro(int64(f.number())) }
+
+func appendBytes(b, v []byte) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(v))), v...)
+}
+
+func appendTime(b []byte, t time.Time) []byte {
+	return binary.AppendUvarint(b, uint64(t.UnixMicro()))
+}
+
+func appendRecord(b, payload []byte) []byte {
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
+	b = binary.LittleEndian.AppendUint32(b, crc32.ChecksumIEEE(payload))
+	return append(b, payload...)
+}
+
+func record(kind byte, seq uint64) []byte { return binary.AppendUvarint([]byte{kind}, seq) }
+
+func acceptedRecord(p *Message) []byte {
+	b := record(recAccepted, p.seq)
+	b = appendBytes(appendBytes(b, []byte(p.ID)), []byte(p.Key))
+	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.Class)), uint64(p.Dest))
+	b = appendBytes(appendTime(b, p.Deadline), p.Body)
+	return binary.AppendUvarint(b, uint64(p.Tenant+1))
+}
+
+func attemptRecord(seq uint64, s Send) []byte {
+	b := binary.AppendUvarint(appendTime(record(recAttempt, seq), s.At), uint64(s.Zone))
+	if s.Life == 0 {
+		return b
+	}
+	return binary.AppendUvarint(binary.AppendUvarint(b, uint64(s.List)), uint64(s.Life))
+}
+
+// outcomeRecord is of recNotRun or recFailed.
+func outcomeRecord(kind byte, seq uint64, attempt int) []byte {
+	return binary.AppendUvarint(record(kind, seq), uint64(attempt))
+}
+
+func endedRecord(seq uint64, e Ending) []byte {
+	failed := uint64(0)
+	if e.Failed {
+		failed = 1
+	}
+	b := binary.AppendUvarint(record(recEnded, seq), failed)
+	return binary.AppendUvarint(b, uint64(e.After/time.Millisecond))
+}
--- /dev/null
+++ b/internal/journal/recovery.go
@@ -0,0 +1,190 @@
+package journal
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+)
+
+// Open replays the journal in dir, as far as its records are whole.
+func Open(dir string, diskMB float64) (*Journal, error) {
+	if diskMB <= 0 {
+		diskMB = DefaultDiskMB
+	}
+	j := &Journal{dir: dir, budget: int64(diskMB*(1<<20)) - 16<<10, live: map[uint64]*Message{}, next: 1}
+	// A compaction that was cut short left its file; the old one is still whole.
+	if err := os.Remove(j.path() + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	f, err := os.OpenFile(j.path(), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	j.f = f
+	switch err := j.replay(f); {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF): // what a torn tail would have guarded was not done
+	case errors.Is(err, errDamaged):
+		j.Damage = fmt.Errorf("journal: at byte %d: %w", j.written, err)
+	default: // what stands behind is not known, and may be owed
+		return nil, errors.Join(fmt.Errorf("journal: at byte %d: %w", j.written, err), f.Close())
+	}
+	// Without a truncation a new file has to be written before anything is appended.
+	j.broken = j.rewind() != nil
+	return j, nil
+}
+
+// replay applies the records of r as far as they are whole. Its error is io.EOF after the last one.
+func (j *Journal) replay(r io.Reader) error {
+	buffered := bufio.NewReaderSize(r, 64<<10)
+	for {
+		payload, err := readRecord(buffered)
+		if err != nil {
+			return err
+		}
+		j.apply(payload)
+		j.written += int64(recordHead + len(payload))
+	}
+}
+
+// apply brings what is live up to date with one record.
+func (j *Journal) apply(payload []byte) {
+	f := &fields{b: payload[1:]}
+	seq := f.number()
+	j.next = max(j.next, seq+1)
+	p := j.live[seq]
+	if p == nil && payload[0] != recAccepted {
+		return
+	}
+	switch payload[0] {
+	case recAccepted:
+		p = &Message{seq: seq, ID: string(f.bytes()), Key: string(f.bytes()), Class: int(f.number()), Dest: int(f.number()),
+			Deadline: f.time(), Body: f.bytes(), Tenant: -1}
+		if len(f.b) > 0 { // not in journals of earlier builds
+			p.Tenant = int(f.number()) - 1
+		}
+		if !f.bad {
+			j.live[seq] = p
+			j.held += p.size()
+		}
+	case recAttempt:
+		s := Send{At: f.time(), Zone: int(f.number())}
+		if len(f.b) > 0 { // not in journals of earlier builds, which leave it unread
+			s.List, s.Life = int64(f.number()), uint32(f.number())
+		}
+		if !f.bad {
+			p.Sends = append(p.Sends, s)
+		}
+	case recNotRun:
+		if n := f.number(); !f.bad && n < uint64(len(p.Sends)) {
+			p.Sends[n].NotRun, p.Sends[n].Failed = true, true
+		}
+	case recFailed:
+		if n := f.number(); !f.bad && n < uint64(len(p.Sends)) {
+			p.Sends[n].Failed = true
+		}
+	case recEnded:
+		e := &Ending{Failed: f.number() == 1, After: time.Duration(f.number()) * time.Millisecond}
+		if !f.bad {
+			j.held -= p.size()
+			p.Ended, p.Body, p.Sends = e, nil, nil // only the notice is owed
+			j.held += p.size()
+		}
+	case recOver:
+		j.held -= p.size()
+		delete(j.live, seq)
+	}
+}
+
+// giveUp drops what is queued: only a new file can hold what is live.
+func (j *Journal) giveUp() { j.pending, j.broken = nil, true }
+
+// Restamp changes the times of all that is live, and writes it to a new file. After an error the times have changed here
+// alone, and it is to be called again.
+func (j *Journal) Restamp(change func(time.Time) time.Time) error {
+	for _, p := range j.live {
+		p.Deadline = change(p.Deadline)
+		for i := range p.Sends {
+			p.Sends[i].At = change(p.Sends[i].At)
+		}
+	}
+	if len(j.live) == 0 {
+		return nil
+	}
+	return j.compact()
+}
+
+// recover writes the new file that a broken journal needs. What has been queued meanwhile is live, and so in it.
+func (j *Journal) recover() error {
+	if j.torn && j.rewind() == nil {
+		j.torn = false
+	}
+	j.pending = nil
+	return j.compact()
+}
+
+// rewind cuts off whatever stands behind the last whole record.
+func (j *Journal) rewind() error {
+	return j.f.Truncate(j.written)
+}
+
+// compact writes what is live, queued records included, to a new file that takes the old one's place. After an error the
+// old one stands, and compact fails at once for CompactPause: a full disk should not have all that is live written to it
+// again and again.
+func (j *Journal) compact() (err error) {
+	if time.Now().Before(j.retryAt) {
+		return errJournalDown
+	}
+	defer func() {
+		if err != nil {
+			j.retryAt = time.Now().Add(CompactPause)
+		}
+	}()
+	f, err := os.OpenFile(j.path()+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return fmt.Errorf("journal: compaction: %w", err)
+	}
+	defer func() {
+		if err != nil {
+			err = errors.Join(fmt.Errorf("journal: compaction: %w", err), f.Close(), os.Remove(f.Name()))
+		}
+	}()
+	size, err := j.writeLive(f)
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(f.Name(), j.path()); err != nil {
+		return err
+	}
+	old := j.f
+	j.f, j.written, j.pending, j.broken, j.torn = f, size, nil, false, false // a large buffer is not kept
+	old.Close()                                                              // nothing of the old file is needed any more
+	return nil
+}
+
+// writeLive writes the records of what is live, and returns how many bytes they take.
+func (j *Journal) writeLive(f io.Writer) (size int64, err error) {
+	w := bufio.NewWriterSize(f, 64<<10)
+	put := func(payload []byte) {
+		n, _ := w.Write(appendRecord(nil, payload)) // the error stays with w
+		size += int64(n)
+	}
+	for _, p := range j.live {
+		put(acceptedRecord(p))
+		for i, s := range p.Sends {
+			put(attemptRecord(p.seq, s))
+			switch {
+			case s.NotRun:
+				put(outcomeRecord(recNotRun, p.seq, i))
+			case s.Failed:
+				put(outcomeRecord(recFailed, p.seq, i))
+			}
+		}
+		if p.Ended != nil {
+			put(endedRecord(p.seq, *p.Ended))
+		}
+	}
+	return size, w.Flush()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,6 @@
 	"errors"
 	"hash/fnv"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -174,15 +173,6 @@
 	return listwatch.NewAgentClient(cfg.From())
 }
 
-func (n *Node) newPool() *egress.Pool {
-	s, most := n.cfg.Settings, n.cfg.Limits.Sockets
-	return egress.NewPool(n.cfg.From(), s.DialTimeout, s.ConnIdle, max(most/4, 8), callPlaces(most), &n.figures.Tries)
-}
-
-// callPlaces is how many descriptors calls may take: clients have a third, and the rest is set aside for the door,
-// discovery, notices, files and the listeners.
-func callPlaces(sockets int) int { return max(sockets-sockets/3-setAside, 8) }
-
 // seed reads the configuration's hexadecimal seed; any other text serves as well.
 func seed(text string) uint64 {
 	if v, err := strconv.ParseUint(text, 16, 64); err == nil {
@@ -333,24 +323,6 @@
 // address of discovery. It may be called at any time, from any goroutine.
 func (n *Node) Reload(cfg config.Config) { n.discovery.Move(cfg.DiscoveryAt()) }
 
-// resumed tells the module of a message's past. An attempt that is not proven not to have run may have.
-func (n *Node) resumed(p *journal.Message) choice.Resumed {
-	r := choice.Resumed{Arrived: n.arrived(p, p.Deadline), Attempts: len(p.Sends)}
-	for _, s := range p.Sends {
-		r.Failed = r.Failed || s.Failed
-		if !s.NotRun && !r.Touched {
-			r.Touched, r.MayRun, r.Zone = true, n.at(s.At), s.Zone
-		}
-	}
-	return r
-}
-
-// arrived is the module's event of a message. A deadline that has not been through the journal is on the
-// monotonic clock, so that a step of the wall clock does not move it.
-func (n *Node) arrived(p *journal.Message, deadline time.Time) choice.Arrived {
-	return choice.Arrived{ID: p.ID, Class: p.Class, Tenant: p.Tenant, Dest: p.Dest, Key: p.Key, DropDead: n.at(deadline)}
-}
-
 // tell hands the loop an event.
 func (n *Node) tell(ctx context.Context, e any) {
 	select {
@@ -533,57 +505,6 @@
 	n.step(ctx, events, fresh)
 }
 
-// refuseGivenUp refuses a message whose record could not be written. Where the record may yet be found at the next start, the
-// refusal waits until it can't: by then the client has most likely gone without having heard anything.
-func (n *Node) refuseGivenUp(a arrival) {
-	refusal := clientAnswer{a, ingress.Answer{Refused: true}}
-	if n.journal.Torn() {
-		n.guarded.answers = append(n.guarded.answers, refusal)
-		return
-	}
-	refusal.to.answer(refusal.answer)
-}
-
-// answer tells all who wait for it. Their channels have room.
-func (a arrival) answer(told ingress.Answer) {
-	a.reply <- told
-	for _, r := range a.also {
-		r <- told
-	}
-}
-
-// accept journals a new message, or tells what to answer in place of asking the module.
-func (n *Node) accept(a arrival) (ingress.Answer, bool) {
-	switch {
-	case n.messages[a.ID] != nil:
-		return ingress.Answer{}, false // taken on before: handed in again it has no second effect
-	case n.ward.out() || n.unfit:
-		n.figures.Shed(a.Class)
-		return ingress.Answer{Refused: true, After: comeLater()}, false
-	case !n.dests[a.Dest] && n.cold != nil && !n.cold.Whole(): // the list that is awaited may name it
-		n.figures.Shed(a.Class)
-		return ingress.Answer{Refused: true, After: n.cold.Come(rand.Float64())}, false
-	case !n.dests[a.Dest]:
-		n.figures.Failed(a.Class)
-		return ingress.Answer{Failed: "unknown destination"}, false
-	case n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
-		n.figures.Shed(a.Class)
-		return ingress.Answer{Refused: true}, false
-	}
-	p := &journal.Message{
-		ID: a.ID, Key: a.Key, Class: a.Class, Tenant: a.Tenant, Dest: a.Dest, Body: a.Body, Deadline: a.Came.Add(a.Life),
-	}
-	p, err := n.journal.Accept(p)
-	if err != nil {
-		n.figures.Shed(a.Class)
-		return ingress.Answer{Refused: true}, false
-	}
-	p.Came, p.Deadline = a.Came, a.Came.Add(a.Life) // on the monotonic clock, which the journal does not keep
-	n.messages[p.ID] = p
-	n.held++
-	return ingress.Answer{}, true
-}
-
 // obey carries out what operators have told. The yes follows once the module has heard of it.
 func (n *Node) obey(o order) choice.Event {
 	done := func(err error) { n.obeyed = append(n.obeyed, obeyed{o, err}) }
@@ -614,119 +535,6 @@
 	return choice.Disabled{Endpoint: o.endpoint}
 }
 
-// forget ends all that the node has of a message.
-func (n *Node) forget(p *journal.Message) {
-	if n.messages[p.ID] != p {
-		return
-	}
-	if p.Ended == nil {
-		n.held--
-	}
-	delete(n.messages, p.ID)
-	n.journal.Over(p)
-}
-
-// listed brings the endpoints up to date. Calls that have not written their first byte hear of it by shut.
-func (n *Node) listed(l listwatch.List) choice.Listed {
-	if n.kept != nil {
-		n.kept.Changed(l.Revision)
-	}
-	if n.revision = l.Revision; l.Complete || n.members == nil {
-		n.members = map[string]listwatch.Member{}
-	}
-	l.Members = slices.DeleteFunc(l.Members, func(m listwatch.Member) bool { return m.ID == "" })
-	entries := entries(l, n.cfg.Names)
-	named := map[string]bool{}
-	for i, m := range l.Members {
-		named[m.ID] = true
-		if n.members[m.ID] = m; entries[i].Phase == choice.Gone {
-			delete(n.members, m.ID)
-		}
-		n.dests[m.Cell] = true
-		n.named[m.ID] = true
-		e := n.eps[m.ID]
-		if entries[i].Phase != choice.Ready {
-			n.shut(e)
-			continue
-		}
-		if e == nil || e.Addr != m.Addr {
-			n.shut(e)
-			e = &egress.Endpoint{ID: m.ID, Addr: m.Addr, Zone: entries[i].Zone, Wait: n.waitOf(entries[i])}
-			e.Out.Store(n.orders.out[m.ID])
-			n.eps[m.ID] = e
-		}
-	}
-	for id, e := range n.eps {
-		if l.Complete && !named[id] {
-			n.shut(e)
-		}
-	}
-	return choice.Listed{Whole: l.Complete, Entries: entries}
-}
-
-func (n *Node) shut(e *egress.Endpoint) {
-	if e != nil {
-		e.Shut.Store(true)
-		delete(n.eps, e.ID)
-		n.pool.HangUp(e.ID)
-	}
-}
-
-// waitOf is where the waits are kept that bind an endpoint: its own if it is a route apart.
-func (n *Node) waitOf(e choice.Entry) *egress.Wait {
-	if kinds := n.cfg.Settings.Kinds; e.Kind >= 0 && e.Kind < len(kinds) && kinds[e.Kind].Apart {
-		return new(egress.Wait)
-	}
-	if n.waits[e.Dest] == nil {
-		n.waits[e.Dest] = new(egress.Wait)
-	}
-	return n.waits[e.Dest]
-}
-
-// called notes the outcome of a call.
-func (n *Node) called(e called) choice.Event {
-	o, ok := n.out[e.attempt]
-	if !ok {
-		return nil // a predecessor told of it, and then was gone
-	}
-	m := o.m
-	if n.audit != nil {
-		n.audit.acts.ended(o.act, e.Result)
-	}
-	n.learnt.dirty = true
-	n.figures.Attempted(int(e.Outcome), e.took)
-	if n.log.Enabled(context.Background(), slog.LevelDebug) {
-		n.log.Debug("attempt_ended", "msg_id", e.id, "dest", m.Dest, "endpoint", e.endpoint.ID, "attempt", e.n,
-			"outcome", metrics.OutcomeNames[e.Outcome], "took", e.took)
-	}
-	if delete(n.out, e.attempt); o.endpoint == nil {
-		n.remote--
-	}
-	switch e.Outcome {
-	case choice.Pass:
-	case choice.Rejected, choice.ConnectFailed, choice.NotSent:
-		n.journal.NotRun(m, e.n)
-	default:
-		n.journal.Failed(m, e.n)
-	}
-	if e.Closed && m.Ended == nil {
-		if e.Outcome == choice.Pass {
-			n.figures.Delivered(m.Class)
-			n.figures.FirstDelivery(time.Since(n.began))
-		} else { // withdrawn or out of time, the endpoint says
-			n.figures.Failed(m.Class)
-		}
-		n.forget(m)
-	}
-	if e.Wait > 0 {
-		e.endpoint.Wait.Extend(time.Now().Add(e.Wait))
-	}
-	return choice.Ended{
-		ID: e.id, Attempt: e.n, Endpoint: e.endpoint.ID, Outcome: e.Outcome, Took: e.took, Closed: e.Closed,
-		Wait: e.Wait, NoSlot: e.NoSlot, Reused: e.Reused, Report: e.Report,
-	}
-}
-
 // step lets the module decide and carries out what it says, in order, once the records are written that guard
 // it. fresh are the messages whose clients still wait to hear whether they are taken on.
 func (n *Node) step(ctx context.Context, events []choice.Event, fresh map[string]arrival) {
@@ -796,62 +604,3 @@
 	n.figures.PoolSize.Store(int64(size))
 	n.figures.PoolEjected.Store(int64(avoided))
 }
-
-// end gives a message its final answer: to its client if that still waits, and by a notice otherwise.
-func (n *Node) end(id string, e journal.Ending, fresh map[string]arrival) {
-	p := n.messages[id]
-	if p == nil || p.Ended != nil {
-		return
-	}
-	if e.Failed {
-		n.figures.Failed(p.Class)
-	} else {
-		n.figures.Shed(p.Class)
-	}
-	n.log.Debug("message_ended", "msg_id", id, "failed", e.Failed, "after", e.After, "sends", len(p.Sends), "left", time.Until(p.Deadline))
-	if a, ok := fresh[id]; ok {
-		delete(fresh, id)
-		n.forget(p)
-		reply := ingress.Answer{Refused: true, After: e.After}
-		if e.Failed {
-			reply = ingress.Answer{Failed: "the message failed"}
-		}
-		n.guarded.answers = append(n.guarded.answers, clientAnswer{a, reply})
-		return
-	}
-	n.held--
-	n.journal.Ended(p, e)
-	n.guarded.notices = append(n.guarded.notices, heldNotice{outbox.NewNotice(p), p.Deadline.Add(-noticeLead)})
-}
-
-// send journals an attempt, and makes the call once that is written.
-func (n *Node) send(a choice.Send) {
-	p, e := n.messages[a.ID], n.eps[a.Endpoint]
-	if e == nil {
-		// The list has just lost it; a call there is NotSent, and so proven not to have run.
-		e = &egress.Endpoint{ID: a.Endpoint, Wait: new(egress.Wait)}
-		e.Shut.Store(true)
-	}
-	name, now := attempt{a.ID, len(p.Sends)}, time.Now()
-	sent := journal.Send{At: now, Zone: e.Zone}
-	if n.audit != nil {
-		sent.List, sent.Life = n.revision, n.audit.life
-	}
-	n.journal.Attempt(p, sent)
-	n.figures.FirstCall(time.Since(n.began))
-	if name.n == 0 && !p.Came.IsZero() {
-		n.figures.First(p.Dest, now.Sub(p.Came))
-	}
-	c := egress.Call{ID: p.ID, Key: p.Key, Body: p.Body, Endpoint: e, NotPast: n.wall(a.NotPast)}
-	if a.BeginBy > 0 {
-		c.BeginBy = n.wall(a.BeginBy)
-	}
-	if n.audit != nil && n.cfg.Audit.Mark {
-		c.Rests = n.version()
-	}
-	var act int64
-	if n.audit != nil {
-		act = n.audit.acts.begun(e.ID)
-	}
-	n.guarded.calls = append(n.guarded.calls, plannedCall{name, p, c, n.pool, act})
-}
