--- a/cmd/harrierramp/faults_test.go
+++ b/cmd/harrierramp/faults_test.go
@@ -30,6 +30,14 @@
 	return line
 }
 
+// mustHaveStruck says that a play gives no verdict where a fault has met fewer calls than it takes to show something.
+func (p *faultPlay) mustHaveStruck(t *testing.T, f *fault, least int) {
+	t.Helper()
+	if met := p.schedule.struck(f); met < least {
+		t.Errorf("no verdict: %d calls have failed, and it takes %d", met, least)
+	}
+}
+
 // mustKeepTheRules ends the play.
 func (p *faultPlay) mustKeepTheRules(t *testing.T) {
 	t.Helper()
@@ -49,9 +57,7 @@
 	outage := p.schedule.fail(3*time.Second, fails(writesFile, syscall.ENOSPC))
 	time.Sleep(2 * time.Second)
 	p.mustKeepTheRules(t)
-	if p.schedule.struck(outage) == 0 {
-		t.Error("no verdict: no write has failed")
-	}
+	p.mustHaveStruck(t, outage, 1)
 }
 
 func TestARefusedMessageIsNotForwardedAfterARestart(t *testing.T) {
@@ -80,9 +86,7 @@
 	} else {
 		p.ledger.noteFor("refused", "its client hears nothing: %v", err)
 	}
-	if p.schedule.struck(outage) == 0 {
-		t.Error("no verdict: no write has failed")
-	}
+	p.mustHaveStruck(t, outage, 1)
 	p.schedule.over(outage)
 	p.node.restart(false)
 	time.Sleep(500 * time.Millisecond)
@@ -152,9 +156,7 @@
 			p.node.restart(false)
 			time.Sleep(4 * time.Second)
 			p.mustKeepTheRules(t)
-			if p.schedule.struck(f) == 0 {
-				t.Error("no verdict: no call has failed")
-			}
+			p.mustHaveStruck(t, f, 1)
 		})
 	}
 }
@@ -187,11 +189,7 @@
 			time.Sleep(time.Until(due.Add(-100 * time.Millisecond)))
 			if c.decide != nil {
 				f := p.schedule.fail(100*time.Millisecond+c.until, c.decide)
-				defer func() {
-					if p.schedule.struck(f) == 0 {
-						t.Error("no verdict: no call has failed")
-					}
-				}()
+				defer p.mustHaveStruck(t, f, 1)
 			}
 			time.Sleep(time.Second)
 			p.mustKeepTheRules(t)
@@ -216,9 +214,7 @@
 	p.platform.srv.CloseClientConnections()
 	time.Sleep(1500 * time.Millisecond)
 	p.mustKeepTheRules(t)
-	if p.schedule.struck(f) == 0 {
-		t.Error("no verdict: no call has failed")
-	}
+	p.mustHaveStruck(t, f, 1)
 }
 
 // A request that has been read is answered, although reads and writes of its connection fail for a moment.
@@ -234,7 +230,5 @@
 	p.schedule.over(f)
 	time.Sleep(1500 * time.Millisecond)
 	p.mustKeepTheRules(t)
-	if p.schedule.struck(f) < 20 {
-		t.Error("no verdict: too few calls have failed")
-	}
+	p.mustHaveStruck(t, f, 20)
 }
