--- a/review/standin/badlines.go
+++ b/review/standin/badlines.go
@@ -30,7 +30,7 @@
 		}
 		return c.reply(200)
 	}
-	d, err := newDeployment(r, destinations, serve, map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 384, "disk_mb": 3}, 24)
+	d, err := newDeployment(r, destinations, serve, map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 384, "disk_mb": 3}, 24, 298)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -18,7 +18,7 @@
 }
 
 // newDeployment sets up two endpoints, one in each zone, for each destination.
-func newDeployment(r *Rig, destinations int, serve func(*Call) bool, limits map[string]any, slots int) (*deployment, error) {
+func newDeployment(r *Rig, destinations int, serve func(*Call) bool, limits map[string]any, slots, maxOpen int) (*deployment, error) {
 	d := &deployment{rig: r, calls: &Calls{}}
 	var members []Member
 	for dest := 1; dest <= destinations; dest++ {
@@ -38,7 +38,7 @@
 		return nil, err
 	}
 	return d, d.node.configure(map[string]any{
-		"discovery": d.platform.addr(), "known": d.platform.list, "limits": limits, "settings": settings(slots),
+		"discovery": d.platform.addr(), "known": d.platform.list, "limits": limits, "settings": settings(slots, maxOpen),
 	})
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -59,7 +59,7 @@
 
 // settings are those of a small deployment: the example of WIRE, for a single node, with the shorter deadlines of the
 // days called brink.
-func settings(slots int) map[string]any {
+func settings(slots, maxOpen int) map[string]any {
 	return map[string]any{
 		"fleetSize": 1, "myNumber": 0, "failureDomains": []string{"bloc-a", "bloc-b"}, "flavors": []string{"major-portal", "employer"},
 		"discovery": "pushed", "weights": "nominal", "overShareWorth": 0.2, "tick": 5.0, "tier": 0, "tiers": []string{"partner-systems"},
@@ -67,7 +67,7 @@
 		"domain": map[string]any{"workers": slots, "decay": "line", "separateRoutes": []bool{true, false}, "kindBatch": []int{1, 1},
 			"feeByZone": []float64{0, 0}, "refusedPrice": 0.03},
 		"limits": map[string]any{"cancel": true, "connIdle": 15000.0, "cpuUsPerRequest": 0.0, "cpuUsPerS": 50000, "dialTimeout": 1500.0,
-			"maxAttempts": 12, "maxOpen": 298, "maxRetryAfter": 3000.0, "mayDuplicate": false, "mayTell": false, "probes": true,
+			"maxAttempts": 12, "maxOpen": maxOpen, "maxRetryAfter": 3000.0, "mayDuplicate": false, "mayTell": false, "probes": true,
 			"retryAfter": true, "streamsPerConn": 1},
 		"contract": map[string]any{"coldFrom": 0.17, "fall": 3000.0, "fallMultiple": 2.5, "graceToAnswer": 20.0, "mustAskIn": 10000.0,
 			"stopSendingWithin": 1000.0, "warmWithin": 9300.0},
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -19,16 +19,16 @@
 		destinations = 8
 		memoryMB     = 64
 		sockets      = 544
-		peers        = sockets / 3
+		peers        = sockets/3 - 11 // the clients have the rest of the third
 		words        = 5
-		wordBytes    = 64 << 10 // 181 peers: 59 MB altogether
+		wordBytes    = 64 << 10 // 170 peers: 56 MB altogether
 		traffic      = 12 * time.Second
 	)
 	serve := func(c *Call) bool {
 		time.Sleep(250 * time.Millisecond)
 		return c.reply(200)
 	}
-	d, err := newDeployment(r, destinations, serve, map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets, "disk_mb": 3}, 24)
+	d, err := newDeployment(r, destinations, serve, map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets, "disk_mb": 3}, 24, 298)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/upgrade.go
+++ b/review/standin/upgrade.go
@@ -15,16 +15,17 @@
 func abortedUpgrade(r *Rig, trouble bool) (broken []string, err error) {
 	const (
 		destinations = 8
-		slots        = 9 // 2 to 2.4 times what 16 messages a second of 250 ms keep busy
+		slots        = 9   // 2 to 2.4 times what 16 messages a second of 250 ms keep busy
+		maxOpen      = 160 // 5.7 to 12 s of that load
 		answerTime   = 250 * time.Millisecond
 		traffic      = 24 * time.Second
-		clump        = 48 // the slots are busy for 1.3 s, however long the second process takes to start
+		clump        = 48 // for one partner, of which the list says 30 calls a second: what it takes in 1.6 s
 	)
 	serve := func(c *Call) bool {
 		time.Sleep(answerTime)
 		return c.reply(200)
 	}
-	d, err := newDeployment(r, destinations, serve, map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 384, "disk_mb": 3}, slots)
+	d, err := newDeployment(r, destinations, serve, map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 384, "disk_mb": 3}, slots, maxOpen)
 	if err != nil {
 		return nil, err
 	}
@@ -47,7 +48,7 @@
 		return nil, err
 	}
 	defer second.kill()
-	d.clump(clump, func(i int) int { return 1 + i%destinations })
+	d.clump(clump, func(int) int { return 1 })
 	time.Sleep(2 * time.Second)
 	if !second.running() {
 		return nil, fmt.Errorf("the second process has ended by itself")
