Tell how late the event loop and notices are, and what clients' input takes

H1: the loop waits for the processor. H2: the loop itself is busy. H3: the platform takes the notice late. H4: garbage collection takes the processor.

Change: the warnings loop_late (with the number of queued events) and notice_late, histograms of both, and metrics of the clients' port: commands that are no request, connections ended for others, bytes reserved for large requests (the last two stay 0 until something uses them).

Ruled out: H2 (queued_events=0 when the loop is late), H4 (garbage collection at 2 %, pauses under 0.1 ms).

--- a/internal/metrics/export.go
+++ b/internal/metrics/export.go
@@ -43,6 +43,9 @@
 	gauge("router.active", "messages_active", "Messages taken on that have no final answer yet.", s.Active.Load())
 	gauge("router.pool_size", "endpoints", "Endpoints in the list.", s.PoolSize.Load())
 	gauge("router.pool_ejected", "endpoints_avoided", "Listed endpoints that are out by hand or struck by failures.", s.PoolEjected.Load())
+	counter("router.client_unusable", "client_commands_unusable_total", "Commands on the clients' port that are no request.", nil, s.Clients.UnusableCommands.Load())
+	counter("router.client_evicted", "client_connections_evicted_total", "Clients' connections ended for others.", nil, s.Clients.Evicted.Load())
+	gauge("router.client_bytes", "client_request_bytes", "Bytes reserved for large requests that are read or wait for their answer.", s.Clients.RequestBytes.Load())
 	if s.ListServiceEnabled {
 		silentMS := time.Since(s.LastListActivity()).Milliseconds()
 		gauge("router.list_revision", "list_revision", "Revision of the list that the node follows.", s.ListRevision.Load())
--- a/internal/metrics/histograms.go
+++ b/internal/metrics/histograms.go
@@ -24,6 +24,8 @@
 	byOutcome     []prometheus.Observer
 	journalAppend prometheus.Histogram
 	loopStep      prometheus.Histogram
+	loopDelay     prometheus.Histogram
+	noticeTime    prometheus.Histogram
 }
 
 func newHistograms() histograms {
@@ -38,6 +40,8 @@
 		attempt:       prometheus.NewHistogramVec(options("attempt_seconds", "Of one attempt, by outcome.", 0.0005), []string{"outcome"}),
 		journalAppend: prometheus.NewHistogram(options("journal_append_seconds", "Of one write of the journal.", 0.00001)),
 		loopStep:      prometheus.NewHistogram(options("step_seconds", "Of one step of the loop.", 0.00001)),
+		loopDelay:     prometheus.NewHistogram(options("loop_delay_seconds", "From when the loop's timer was due to the step that it starts.", 0.0001)),
+		noticeTime:    prometheus.NewHistogram(options("notice_seconds", "From a final answer to the acceptance of its notice.", 0.0005)),
 		byDest:        map[int]prometheus.Observer{},
 	}
 	for _, name := range OutcomeLabels {
@@ -52,6 +56,8 @@
 	h.attempt.Collect(ch)
 	h.journalAppend.Collect(ch)
 	h.loopStep.Collect(ch)
+	h.loopDelay.Collect(ch)
+	h.noticeTime.Collect(ch)
 }
 
 // ObserveIntakeAnswer records the time from the first byte of a client's request to its answer.
@@ -86,3 +92,9 @@
 
 // ObserveLoopStep records the duration of one step of the event loop.
 func (s *Set) ObserveLoopStep(d time.Duration) { s.histograms.loopStep.Observe(d.Seconds()) }
+
+// ObserveLoopDelay records how long after it was due a timer of the event loop started a step.
+func (s *Set) ObserveLoopDelay(d time.Duration) { s.histograms.loopDelay.Observe(d.Seconds()) }
+
+// ObserveNotice records the time from a message's final answer to the platform's acceptance of its notice.
+func (s *Set) ObserveNotice(d time.Duration) { s.histograms.noticeTime.Observe(d.Seconds()) }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,6 +18,8 @@
 
 	Active, PoolSize, PoolEjected atomic.Int64
 
+	Clients Clients
+
 	// Metrics of the membership protocol, exported only if MembershipEnabled is set.
 	MembershipEnabled                                                   bool
 	present, suspect, lastAgreementAgoMS, localHealth                   atomic.Int64
@@ -32,6 +34,13 @@
 	histograms histograms
 }
 
+// Clients holds the metrics of the connections on the clients' port. The server for clients updates them.
+type Clients struct {
+	UnusableCommands atomic.Int64 // commands that are no request: malformed, unknown, empty or oversized
+	Evicted          atomic.Int64 // connections ended for others: for their slot, or for the memory of a stalled request
+	RequestBytes     atomic.Int64 // bytes reserved now for large requests that are read or wait for their answer
+}
+
 // outcomeCounts counts the final answers of one message class.
 type outcomeCounts struct{ delivered, shed, failed atomic.Int64 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	// them for the next start.
 	stopSendingAfter = 1200 * time.Millisecond
 	exitAfter        = 2700 * time.Millisecond
+	lateThreshold    = 100 * time.Millisecond // a later step or notice is logged; a notice is overdue after 300 ms
 )
 
 // attemptID identifies one attempt to deliver a message, and with it the call that carries it out.
@@ -377,7 +378,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		timer.Reset(n.untilNextWake())
+		wait := n.untilNextWake()
+		due := time.Now().Add(wait)
+		timer.Reset(wait)
 		notices := n.notices
 		if len(n.noticeQueue) == 0 {
 			notices = nil
@@ -387,6 +390,7 @@
 		case e := <-n.events:
 			batch = append(batch, e)
 		case <-timer.C:
+			n.observeLoopDelay(time.Since(due))
 		case notices <- n.noticeQueue:
 			n.noticeQueue = nil
 			continue
@@ -456,6 +460,7 @@
 			events = append(events, n.failRemoteCalls()...)
 		case acceptedNotices:
 			for _, s := range e {
+				n.observeNotice(s)
 				n.forget(s.Message)
 			}
 		case statusReportResult:
@@ -617,6 +622,23 @@
 	n.cancelled, n.commandOutcomes = n.cancelled[:0], n.commandOutcomes[:0]
 }
 
+// observeLoopDelay records how late a timer of the loop has started a step.
+func (n *Node) observeLoopDelay(delay time.Duration) {
+	n.metrics.ObserveLoopDelay(delay)
+	if delay > lateThreshold {
+		n.log.Warn("loop_late", "delay", delay, "queued_events", len(n.events))
+	}
+}
+
+// observeNotice records how long the platform's acceptance of a notice took.
+func (n *Node) observeNotice(notice outbox.Notice) {
+	took := time.Since(notice.EndedAt)
+	n.metrics.ObserveNotice(took)
+	if took > lateThreshold {
+		n.log.Warn("notice_late", "msg_id", notice.ID, "took", took)
+	}
+}
+
 // publishGauges updates the gauges, so that readers of the metrics need not wait for the loop.
 func (n *Node) publishGauges() {
 	size, ejected := n.sender.EndpointCounts()
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -46,6 +46,7 @@
 // Notice tells the platform how a message ended that was accepted and not delivered.
 type Notice struct {
 	Message *journal.Message `json:"-"`
+	EndedAt time.Time        `json:"-"` // when this process learned of the final answer
 	ID      string           `json:"id"`
 	State   string           `json:"state"`
 	AfterMS int64            `json:"after_ms,omitempty"`
@@ -54,9 +55,9 @@
 // NewNotice returns the notice for a message that has its final answer.
 func NewNotice(p *journal.Message) Notice {
 	if p.Ended.Failed {
-		return Notice{Message: p, ID: p.ID, State: "failed"}
+		return Notice{Message: p, EndedAt: time.Now(), ID: p.ID, State: "failed"}
 	}
-	return Notice{Message: p, ID: p.ID, State: "returned", AfterMS: p.Ended.RetryAfter.Milliseconds()}
+	return Notice{Message: p, EndedAt: time.Now(), ID: p.ID, State: "returned", AfterMS: p.Ended.RetryAfter.Milliseconds()}
 }
 
 // Run posts the notices from the channel, in order, until ctx ends. A post that is not accepted is repeated,
