Bound the processor time that clients' input takes, and divide it fairly

Seen by callers: while peers send lines that are no requests (or empty lines, or PINGs), final answers come up to seconds late, clients get no answer within 400 ms, and peers that send empty lines get neither an answer nor a close within 3 s.

Nothing bounded lines, bytes or time of peers that send no request.

Change: internal/fairqueue, a scheduler of turns: a core stepped with time (start-time fair queueing, a budget of half of the processors' time) and a thin shell. A connection on the clients' port works only within its turn, which ends at each read, write and wait, so what is runnable at a time is a few microseconds of work each. Whoever comes back after a pause is next. A connection whose last 16 commands were no request gets their error lines and is closed; empty commands count too, and no longer put off the time limit of the first request. ingress.go is taken apart on the way: request.go, resp.go, conn.go.

Why it works: the loop competes with one goroutine instead of one a connection, and input as a whole pauses after 4 ms in a row, in which the run time also looks at the network.

Ruled out: runtime.Gosched between lines (the loop still waits for each runnable goroutine once), more processors (limits), a limit of lines alone (PINGs are requests). With all seven kinds at once, in one process with the platform's stand-in, notices were late by that process's own load: the kinds are played one after the other.

--- /dev/null
+++ b/cmd/harrierramp/strangers_test.go
@@ -0,0 +1,331 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"harrierramp/internal/testkit"
+)
+
+const (
+	strangerQuiet    = time.Second            // with clients alone, at the start and at the end
+	strangerTime     = 4 * time.Second        // from the strangers' first connection to their last byte
+	strangerPatience = 3 * time.Second        // a stranger gets an error line or a close within this time
+	soundInterval    = 50 * time.Millisecond  // between the requests of one sound client
+	soundClients     = 5                      // each for both destinations in turn
+	messageTTL       = 800 * time.Millisecond // of messages; those for the silent destination end by a notice
+	answeringDest    = 1
+	silentDest       = 2
+)
+
+// strangers are peers on the clients' port that send no proper requests.
+type strangers struct {
+	name  string
+	count int
+	limit nodeLimits
+	act   func(nc net.Conn) // sends what the peer has to send; the caller reads until the connection ends
+	again bool              // connect again after the end, until strangerTime is over
+}
+
+// nodeLimits are the limits of a node, as the platform's configuration names them.
+type nodeLimits struct{ memoryMB, sockets int }
+
+var usualLimits = nodeLimits{memoryMB: 64, sockets: 384}
+
+// Guards against starving the event loop: whatever peers send to the clients' port, clients get their answers, and
+// messages that were accepted get their final answers in time.
+func TestStrangersDoNotDelayFinalAnswers(t *testing.T) {
+	const logLine = "2026-12-04T08:30:00Z web-3 nginx[711]: 10.0.3.7 GET /offres 200 0.012\n"
+	for _, s := range []strangers{
+		{name: "lines of a log", count: 60, act: send(strings.Repeat(logLine, 512<<10/len(logLine)))},
+		{name: "empty lines", count: 120, act: send(strings.Repeat("\r\n", 160<<10))},
+		{name: "pings", count: 120, act: send(strings.Repeat("PING\r\n", 4<<10))},
+		{name: "unknown commands", count: 120, act: send(strings.Repeat(testkit.EncodeRESP("LPUSH", "list", "entry"), 4<<10))},
+		{name: "requests of no class", count: 120, act: send(strings.Repeat(testkit.EnqueueRequest("id", "c=none,d=8000,dest=1", "b"), 4<<10))},
+		{name: "oversized bodies", count: 60, act: send(strings.Repeat(testkit.EnqueueRequest("id", "c=status,d=8000,dest=1", strings.Repeat("x", 512<<10)), 4))},
+		{name: "new connections without end", count: 60, act: send("GET / HTTP/1.1\r\n\r\n" + strings.Repeat(logLine, 100)), again: true},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			s.limit = usualLimits
+			playStrangers(t, s)
+		})
+	}
+}
+
+func send(text string) func(net.Conn) {
+	return func(nc net.Conn) { io.WriteString(nc, text) } // an error means that the node has ended the connection
+}
+
+// playStrangers runs a node with sound clients, lets the strangers connect, and checks the rules.
+func playStrangers(t *testing.T, s strangers) {
+	t.Helper()
+	n := startLimitedNode(t, s.limit)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	var requests, unanswered atomic.Int64
+	for i := range soundClients {
+		clients.Go(func() {
+			c := soundClient{node: n, number: i}
+			defer c.disconnect()
+			for number := 0; ; number++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(soundInterval):
+				}
+				requests.Add(1)
+				if !c.submit(number) {
+					unanswered.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(strangerQuiet)
+	var peers sync.WaitGroup
+	var neglected atomic.Int64
+	until := time.Now().Add(strangerTime)
+	for range s.count {
+		peers.Go(func() {
+			for served := true; served && time.Now().Before(until); served = s.again {
+				if !s.visit(n.addr) {
+					neglected.Add(1)
+				}
+			}
+		})
+	}
+	peers.Wait()
+	time.Sleep(strangerQuiet)
+	close(stop)
+	clients.Wait()
+	time.Sleep(messageTTL + reportSlack)
+	n.checkRunning()
+	violations := n.ledger.verify()
+	n.ledger.mu.Lock()
+	defer n.ledger.mu.Unlock()
+	t.Logf("%v; %d requests, %d unanswered; %.1f MB at most", n.ledger.counts, requests.Load(), unanswered.Load(), float64(n.peakKB.Load())/1024)
+	for _, v := range violations[:min(len(violations), 3)] {
+		t.Error(v)
+	}
+	if len(violations) > 0 {
+		t.Errorf("%d rules are broken", len(violations))
+	}
+	if n.ledger.counts["reported returned"]+n.ledger.counts["reported failed"] < 20 {
+		t.Error("no verdict: too few messages ended by a notice")
+	}
+	if unanswered.Load()*20 > requests.Load() {
+		t.Errorf("%d of %d requests of sound clients got no answer within %v", unanswered.Load(), requests.Load(), clientTimeout)
+	}
+	if neglected.Load() > 0 {
+		t.Errorf("%d strangers got neither an answer nor a close within %v", neglected.Load(), strangerPatience)
+	}
+}
+
+// visit connects once, and returns whether the node answered or closed within strangerPatience.
+func (s strangers) visit(addr string) bool {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return true
+	}
+	defer nc.Close()
+	nc.SetReadDeadline(time.Now().Add(strangerPatience))
+	nc.SetWriteDeadline(time.Now().Add(2 * strangerTime))
+	var sending sync.WaitGroup
+	sending.Go(func() { s.act(nc) })
+	defer sending.Wait()
+	_, err = nc.Read(make([]byte, 1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	nc.SetReadDeadline(time.Now().Add(2 * strangerTime))
+	io.Copy(io.Discard, nc)
+	return true
+}
+
+// soundClient submits messages one after the other on one connection.
+type soundClient struct {
+	node   *limitedNode
+	number int
+	body   string
+	nc     net.Conn
+	br     *bufio.Reader
+}
+
+// submit submits a message, and returns whether it was answered within clientTimeout.
+func (c *soundClient) submit(number int) bool {
+	id := fmt.Sprintf("m%dx%d", c.number, number)
+	dest := answeringDest + number%2
+	if c.body == "" {
+		c.body = "body"
+	}
+	request := testkit.EnqueueRequest(id, fmt.Sprintf("c=status,d=%d,dest=%d", messageTTL.Milliseconds(), dest), c.body)
+	for reused := c.nc != nil; ; reused = false {
+		if c.nc == nil {
+			nc, err := net.DialTimeout("tcp", c.node.addr, clientTimeout)
+			if err != nil {
+				return false
+			}
+			c.nc, c.br = nc, bufio.NewReader(nc)
+		}
+		c.nc.SetDeadline(time.Now().Add(clientTimeout))
+		c.node.ledger.recordSubmission(id, "status", messageTTL)
+		_, err := io.WriteString(c.nc, request)
+		line := ""
+		if err == nil {
+			line, err = c.br.ReadString('\n')
+		}
+		if err == nil {
+			c.node.ledger.recordAnswer(id, strings.TrimSpace(line))
+			return true
+		}
+		c.disconnect()
+		if !reused || os.IsTimeout(err) {
+			return false
+		}
+	}
+}
+
+func (c *soundClient) disconnect() {
+	if c.nc != nil {
+		c.nc.Close()
+		c.nc = nil
+	}
+}
+
+// limitedNode is a real node process under the platform's limits.
+type limitedNode struct {
+	t      *testing.T
+	addr   string
+	door   string
+	ledger *faultLedger
+	limits nodeLimits
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	peakKB atomic.Int64 // the most private memory that the process has held
+}
+
+// limitedProgram builds the program. A test binary with the race detector would need many times the memory.
+var limitedProgram = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "harrierramp")
+	if err != nil {
+		return "", err
+	}
+	program := filepath.Join(dir, "harrierramp")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return program, nil
+})
+
+// startLimitedNode starts a node with a destination that answers and one that never does.
+func startLimitedNode(t *testing.T, limits nodeLimits) *limitedNode {
+	t.Helper()
+	program, err := limitedProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &limitedNode{t: t, addr: nodeAddress(t), door: nodeAddress(t), ledger: newFaultLedger(), limits: limits, ended: make(chan struct{})}
+	p := newFakePlatform(t, n.ledger, []string{
+		member("e1", newFaultEndpoint(t, n.ledger, func() reply { return replyDelivered }), answeringDest),
+		member("e2", newFaultEndpoint(t, n.ledger, func() reply { return replyNever }), silentDest),
+	})
+	config := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"console":%q,"discovery":%q,"seed":"1",
+		"limits":{"cores":1,"memory_mb":%d,"sockets":%d,"disk_mb":3},"known":%s,"settings":%s}`,
+		n.addr, n.door, p.addr(), limits.memoryMB, limits.sockets, p.list(), faultSettings)
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	n.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", limits.sockets, program))
+	n.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_STATE="+t.TempDir())
+	n.cmd.Stderr = log
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := n.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer close(n.ended)
+		n.cmd.Wait()
+	}()
+	t.Cleanup(func() {
+		n.cmd.Process.Kill()
+		<-n.ended
+		if text, err := os.ReadFile(log.Name()); err == nil && t.Failed() {
+			t.Logf("the end of the node's log:\n%s", text[max(0, len(text)-4000):])
+		}
+	})
+	go n.watchMemory()
+	testkit.Eventually(t, "the node is ready", func() bool {
+		nc, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			return false
+		}
+		nc.Close()
+		return testkit.Exchange(t, n.addr, testkit.EncodeRESP("PING")) == "+PONG"
+	})
+	return n
+}
+
+// watchMemory records the private memory of the process, and kills it over its limit, as the platform does.
+func (n *limitedNode) watchMemory() {
+	tick := time.NewTicker(2 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-n.ended:
+			return
+		case <-tick.C:
+		}
+		kb := privateKB(n.cmd.Process.Pid)
+		n.peakKB.Store(max(n.peakKB.Load(), kb))
+		if kb > int64(n.limits.memoryMB)<<10 {
+			n.ledger.recordViolation("crash", "the node holds %d KB, its limit is %d MB", kb, n.limits.memoryMB)
+			n.cmd.Process.Kill()
+			return
+		}
+	}
+}
+
+// privateKB returns the resident memory of a process in KiB, without mapped files.
+func privateKB(pid int) int64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, after, _ := strings.Cut(string(status), "RssAnon:")
+	fields := strings.Fields(after)
+	if len(fields) == 0 {
+		return 0
+	}
+	kb, err := strconv.ParseInt(fields[0], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return kb
+}
+
+// checkRunning records a violation if the process has ended.
+func (n *limitedNode) checkRunning() {
+	select {
+	case <-n.ended:
+		n.ledger.recordViolation("crash", "the node has ended: %v", n.cmd.ProcessState)
+	default:
+	}
+}
--- a/internal/ingress/close_test.go
+++ b/internal/ingress/close_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"harrierramp/internal/fairqueue"
 	"harrierramp/internal/testkit"
 )
 
@@ -98,9 +99,9 @@
 func TestPollPendingFindsRequestAfterDeadline(t *testing.T) {
 	near, far := testkit.TCPPair(t)
 	nc := stalledConn{near}
-	in := &replayReader{src: nc}
+	in := newConnReader(nc, fairqueue.New(1).NewFlow(), nil)
 	interruptRead(nc)
-	if _, err := in.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) || pollPending(nc, in, err) {
+	if _, err := in.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) || in.pollPending(err) {
 		t.Fatalf("%v, and a request was reported though none was sent", err)
 	}
 	if _, err := io.WriteString(far, testkit.EncodeRESP("PING")); err != nil {
@@ -108,13 +109,13 @@
 	}
 	testkit.WaitForPendingData(t, near)
 	interruptRead(nc)
-	if _, err := in.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) || !pollPending(nc, in, err) {
+	if _, err := in.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) || !in.pollPending(err) {
 		t.Fatalf("%v, and the pending request was not found", err)
 	}
 	if got := string(in.unanswered()); got != testkit.EncodeRESP("PING") {
 		t.Errorf("%q is to be replayed", got)
 	}
-	if pollPending(nc, in, io.EOF) {
+	if in.pollPending(io.EOF) {
 		t.Error("EOF was taken for a request")
 	}
 }
--- /dev/null
+++ b/internal/ingress/conn.go
@@ -0,0 +1,340 @@
+package ingress
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"harrierramp/internal/fairqueue"
+	"harrierramp/internal/nonblock"
+	"harrierramp/internal/transient"
+)
+
+// maxUnusableCommands is how many commands in a row may be no request before the connection is closed.
+const maxUnusableCommands = 16
+
+// closeReason is the reason that is logged for the end of a connection.
+type closeReason string
+
+const (
+	closeHandedOver        closeReason = "handed over to another process"
+	closeIdle              closeReason = "closed between requests" // by Drain, Close or eviction
+	closeNoRequest         closeReason = "no request"              // within the timeout, or the client disconnected
+	closeIncompleteRequest closeReason = "incomplete request"      // within the timeout, or the client disconnected
+	closeWriteFailed       closeReason = "answer could not be written"
+	closeProtocolError     closeReason = "protocol error"
+	closeUnusable          closeReason = "too many commands that are no request"
+	closeConnBroken        closeReason = "connection error"
+
+	keepServing closeReason = "" // the connection is not to be closed
+)
+
+// connStart is the state of a connection when it is admitted. Its times are on the monotonic clock.
+type connStart struct {
+	lastActivity time.Time // of the last answer, or the start of the connection
+	requestStart time.Time // of the first byte of a partially read request; zero if none was read
+	unanswered   []byte    // bytes already read of requests without an answer
+	hadRequest   bool      // has sent at least one request
+}
+
+// clientConn serves one connection on the clients' port. The goroutine that runs serve owns it.
+//
+// All work on what the peer has sent is done within turns of the server's scheduler: a turn begins when a read returns
+// or the previous answer has been written, and ends before anything that may block.
+type clientConn struct {
+	server       *Server
+	nc           net.Conn
+	turn         *fairqueue.Flow
+	input        *connReader
+	r            *bufio.Reader // reads from input
+	lastActivity time.Time
+	requestStart time.Time // zero between requests
+	hadRequest   bool
+	unusable     int // commands in a row that were no request
+}
+
+func newClientConn(s *Server, nc net.Conn, start connStart) *clientConn {
+	turn := s.scheduler.NewFlow()
+	input := newConnReader(nc, turn, start.unanswered)
+	return &clientConn{
+		server: s, nc: nc, turn: turn, input: input, r: bufio.NewReaderSize(input, readBufferBytes),
+		lastActivity: start.lastActivity, requestStart: start.requestStart, hadRequest: start.hadRequest,
+	}
+}
+
+// serveConn serves a connection to its end.
+func (s *Server) serveConn(nc net.Conn, start connStart) {
+	c := newClientConn(s, nc, start)
+	reason, err := c.serve()
+	c.turn.End()
+	if reason == closeHandedOver {
+		nc.Close() // closes only our descriptor: the other process keeps the connection
+	} else {
+		s.lingeringClose(nc, c.turn)
+	}
+	s.log.Debug("client_closed", "client", nc.RemoteAddr(), "reason", reason, "err", err)
+	s.mu.Lock()
+	delete(s.conns, nc)
+	s.mu.Unlock()
+}
+
+// serve answers requests until the connection is to be closed or has been handed over to another process. The error is
+// the one that the connection returned, if any.
+func (c *clientConn) serve() (closeReason, error) {
+	for {
+		arrived, reason, err := c.awaitCommand()
+		if arrived {
+			reason, err = c.serveCommand()
+		}
+		if reason != keepServing {
+			return reason, err
+		}
+	}
+}
+
+// awaitCommand waits until the first byte of a command can be read. If arrived is false, the connection is to be closed,
+// unless reason is keepServing.
+func (c *clientConn) awaitCommand() (arrived bool, reason closeReason, err error) {
+	c.input.resetRecording(c.r)
+	// Set the deadline before updateState, because interruptRead overwrites the deadline of an idle connection.
+	if err := c.nc.SetDeadline(c.lastActivity.Add(idleTimeout)); err != nil {
+		return false, closeConnBroken, err
+	}
+	if c.r.Buffered() == 0 && len(c.input.prefix) == 0 && !c.server.updateState(c.nc, true, c.lastActivity) {
+		return false, c.leave(closeIdle), nil
+	}
+	if _, err := c.r.Peek(1); err != nil && !c.input.pollPending(err) {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false, closeNoRequest, err
+		}
+		return false, c.leave(closeNoRequest), err
+	}
+	return true, keepServing, nil
+}
+
+// leave ends the service of a connection between requests: it hands the connection over if the server hands over, and
+// otherwise returns reason. If the other process has gone, the connection is served further.
+func (c *clientConn) leave(reason closeReason) closeReason {
+	if !c.server.handingOver() {
+		return reason
+	}
+	if c.handOver() {
+		return closeHandedOver
+	}
+	return keepServing
+}
+
+// serveCommand reads a command and answers it.
+func (c *clientConn) serveCommand() (closeReason, error) {
+	if c.requestStart.IsZero() {
+		c.requestStart = time.Now()
+	}
+	c.server.updateState(c.nc, false, c.lastActivity)
+	if err := c.nc.SetDeadline(c.requestDeadline()); err != nil {
+		return closeConnBroken, err
+	}
+	c.turn.Begin()
+	args, err := readCommand(c.r)
+	switch {
+	case err == nil && len(args) == 0:
+		return c.serveEmptyCommand()
+	case err == nil:
+		return c.answer(args)
+	case errors.Is(err, errProtocol):
+		c.server.metrics.UnusableCommands.Add(1)
+		if writeErr := c.write(Answer{ErrorText: err.Error()}.line()); writeErr != nil {
+			return closeWriteFailed, writeErr
+		}
+		return closeProtocolError, err
+	case errors.Is(err, errTooLarge):
+		return c.finishCommand(Answer{ErrorText: err.Error()}.line(), false)
+	}
+	return closeIncompleteRequest, err
+}
+
+// requestDeadline returns the time by which the current request has to be read.
+func (c *clientConn) requestDeadline() time.Time {
+	deadline := c.requestStart.Add(requestTimeout)
+	if first := c.lastActivity.Add(firstRequestTimeout); !c.hadRequest && first.Before(deadline) {
+		return first
+	}
+	return deadline
+}
+
+// answer executes a command and writes its answer.
+func (c *clientConn) answer(args [][]byte) (closeReason, error) {
+	line, usable := c.handleCommand(args)
+	for line == handoverSentinel {
+		if c.handOver() {
+			return closeHandedOver, nil
+		}
+		line, usable = c.handleCommand(args)
+	}
+	return c.finishCommand(line, usable)
+}
+
+// serveEmptyCommand leaves the connection as idle as before, since an empty command has no answer. Many in a row are
+// answered by an error.
+func (c *clientConn) serveEmptyCommand() (closeReason, error) {
+	c.requestStart = time.Time{}
+	c.server.metrics.UnusableCommands.Add(1)
+	if c.unusable++; c.unusable < maxUnusableCommands {
+		return keepServing, nil
+	}
+	if err := c.write(Answer{ErrorText: "no command"}.line()); err != nil {
+		return closeWriteFailed, err
+	}
+	return closeUnusable, nil
+}
+
+// finishCommand writes the answer to a command. usable says whether the command was a request, or a PING.
+func (c *clientConn) finishCommand(line string, usable bool) (closeReason, error) {
+	if err := c.write(line); err != nil {
+		return closeWriteFailed, err
+	}
+	c.lastActivity, c.requestStart, c.hadRequest = time.Now(), time.Time{}, true
+	if usable {
+		c.unusable = 0
+		return keepServing, nil
+	}
+	c.server.metrics.UnusableCommands.Add(1)
+	if c.unusable++; c.unusable < maxUnusableCommands {
+		return keepServing, nil
+	}
+	return closeUnusable, nil
+}
+
+// handleCommand executes one command and returns the line to answer, and whether the command was a request or a PING.
+func (c *clientConn) handleCommand(args [][]byte) (line string, usable bool) {
+	s := c.server
+	switch strings.ToUpper(string(args[0])) {
+	case "PING":
+		return s.pingAnswer(), true
+	case "ENQUEUE":
+		q, err := parseEnqueue(args, s.names, c.requestStart)
+		if err != nil {
+			return Answer{ErrorText: err.Error()}.line(), false
+		}
+		c.turn.End()
+		defer c.turn.Begin()
+		return s.handle(q).line(), true
+	}
+	return Answer{ErrorText: "unknown command"}.line(), false
+}
+
+// write writes one line, and fails if the client does not read it within requestTimeout.
+func (c *clientConn) write(line string) error {
+	c.turn.End()
+	if err := c.nc.SetWriteDeadline(time.Now().Add(requestTimeout)); err != nil {
+		return err
+	}
+	began := time.Now()
+	_, err := transient.Write(c.nc, []byte(line))
+	c.turn.Charge(time.Since(began))
+	return err
+}
+
+// handOver passes the connection to the other process and reports whether that succeeded.
+func (c *clientConn) handOver() bool {
+	c.turn.End()
+	defer c.turn.Begin()
+	return c.server.handOverConn(c.nc, ConnHandover{
+		Unanswered: c.input.unanswered(), LastActivityUnixNano: c.lastActivity.UnixNano(), RequestStartUnixNano: c.requestStart.UnixNano(),
+	})
+}
+
+const (
+	readBufferBytes = 4096
+	readCallCost    = 2 * time.Microsecond // processor time of a read, beside that of copying
+	readByteCost    = time.Nanosecond      // processor time of copying a byte
+)
+
+// connReader reads from a connection and records what it has read since the last answer, so that another process can
+// read it again after a hand-over. Each read ends the connection's turn, and begins one when it has got bytes.
+type connReader struct {
+	nc       net.Conn
+	src      io.Reader // reads from nc
+	turn     *fairqueue.Flow
+	prefix   []byte // returned before anything from src
+	recorded []byte
+}
+
+func newConnReader(nc net.Conn, turn *fairqueue.Flow, prefix []byte) *connReader {
+	return &connReader{nc: nc, src: transient.Reader(nc), turn: turn, prefix: prefix}
+}
+
+// Read is part of io.Reader.
+func (t *connReader) Read(p []byte) (n int, err error) {
+	if len(t.prefix) > 0 {
+		n = copy(p, t.prefix)
+		t.prefix = t.prefix[n:]
+	} else {
+		t.turn.End()
+		n, err = t.src.Read(p)
+		if n > 0 {
+			t.turn.Charge(readCallCost + time.Duration(n)*readByteCost)
+			t.turn.Begin()
+		}
+	}
+	if len(t.recorded) <= maxReplayBytes { // a larger request is answered by this process
+		t.recorded = append(t.recorded, p[:n]...)
+	}
+	return n, err
+}
+
+// pollPending reports whether a request has arrived although the wait for one ended with err. It reads the socket once
+// without blocking, so that a connection is not closed with an unread request in its receive buffer.
+func (t *connReader) pollPending(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	var b [finalReadBytes]byte
+	n, err := nonblock.Read(t.nc, b[:])
+	t.prefix = append(t.prefix, b[:n]...)
+	return err == nil
+}
+
+// resetRecording restarts the recording with what r has buffered but not consumed.
+func (t *connReader) resetRecording(r *bufio.Reader) {
+	ahead, _ := r.Peek(r.Buffered()) // cannot fail: asks only for buffered bytes
+	t.recorded = append(t.recorded[:0], ahead...)
+	if cap(t.recorded) > maxReplayBytes/16 && len(ahead) == 0 {
+		t.recorded = nil // an idle connection should not keep a large buffer
+	}
+}
+
+// unanswered returns everything that was read, or is still to be replayed, of requests without an answer.
+func (t *connReader) unanswered() []byte { return slices.Concat(t.recorded, t.prefix) }
+
+// lingeringClose closes a connection; connections that are not handed over are closed only here. Closing a socket with
+// unread input, or receiving input after that, resets the connection, and the client may lose its last answer. So the
+// write side is closed first, and further input is dropped and never served: a client whose request ends without an
+// answer knows that it has to send it again. This lasts until the client closes its side, for lingerTimeout or
+// maxDiscardBytes at most, or until the slot is needed for a new connection.
+func (s *Server) lingeringClose(nc net.Conn, turn *fairqueue.Flow) {
+	defer nc.Close()
+	halfCloser, ok := nc.(interface{ CloseWrite() error })
+	if !ok || halfCloser.CloseWrite() != nil {
+		return
+	}
+	s.mu.Lock()
+	linger := lingerTimeout
+	if p := s.conns[nc]; p != nil {
+		if p.idle, p.closing = false, true; p.evicted {
+			linger = evictedLingerTimeout
+		}
+	}
+	// Under the lock, so that evictIdle can interrupt the wait.
+	mayLinger := !s.closeExpired && nc.SetReadDeadline(time.Now().Add(linger)) == nil
+	s.mu.Unlock()
+	if mayLinger {
+		input := newConnReader(nc, turn, nil)
+		io.Copy(io.Discard, io.LimitReader(input, maxDiscardBytes)) // errors do not matter: the connection is closed next
+		turn.End()
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"errors"
 	"hash/fnv"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -23,6 +24,7 @@
 	"harrierramp/internal/coldstart"
 	"harrierramp/internal/config"
 	"harrierramp/internal/egress"
+	"harrierramp/internal/fairqueue"
 	"harrierramp/internal/handover"
 	"harrierramp/internal/ingress"
 	"harrierramp/internal/journal"
@@ -83,10 +85,11 @@
 	floor             listwatch.Floor
 	ownershipLock     *os.File // this process owns the node while it holds the lock
 	overrides         *operatorOverrides
-	ingress           *ingress.Server // shared
-	metrics           *metrics.Set    // shared
-	serving           atomic.Bool     // shared: the event loop runs
-	handedOver        atomic.Bool     // shared: a successor owns the node
+	ingress           *ingress.Server      // shared
+	metrics           *metrics.Set         // shared
+	inputScheduler    *fairqueue.Scheduler // shared: of the processor time for what peers send
+	serving           atomic.Bool          // shared: the event loop runs
+	handedOver        atomic.Bool          // shared: a successor owns the node
 	clockStart        time.Time
 	events            chan any
 	notices           chan []outbox.Notice
@@ -162,10 +165,11 @@
 	}
 	n := &Node{
 		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), clockStart: time.Now(), processStart: time.Now(),
-		metrics:    metrics.New(cfg.Names.Classes),
-		httpClient: newListClient(cfg),
-		discovery:  listwatch.NewAddresses(cfg.DiscoveryAddrs()),
-		events:     make(chan any, eventQueueSize), notices: make(chan []outbox.Notice), handoverRequests: make(chan *handover.Link),
+		metrics:        metrics.New(cfg.Names.Classes),
+		inputScheduler: fairqueue.New(int(math.Ceil(cfg.Limits.Cores))),
+		httpClient:     newListClient(cfg),
+		discovery:      listwatch.NewAddresses(cfg.DiscoveryAddrs()),
+		events:         make(chan any, eventQueueSize), notices: make(chan []outbox.Notice), handoverRequests: make(chan *handover.Link),
 		recheckList: make(chan struct{}, 1),
 		messages:    map[string]*journal.Message{}, inFlight: map[attemptID]inFlightCall{}, endpoints: map[string]*egress.Endpoint{},
 		destCooldowns: map[int]*egress.Cooldown{}, knownDests: map[int]bool{}, knownEndpoints: map[string]bool{},
@@ -211,6 +215,8 @@
 	var background sync.WaitGroup
 	n.ingress = ingress.NewServer(ln, n.cfg.Limits.Sockets/3, n.cfg.Names, func(q ingress.Request) ingress.Answer { return n.submit(processCtx, q) })
 	n.ingress.SetLogger(n.log)
+	n.ingress.SetMetrics(&n.metrics.Clients)
+	n.ingress.SetScheduler(n.inputScheduler)
 	n.ingress.SetNotReadyReason(n.unavailableReason)
 	n.ingress.Pause()
 	background.Go(func() { n.ingress.Serve(processCtx) })
