Bound the memory that requests in part hold, by the memory limit

Seen by callers: a node of 64 MB is killed for memory within a second when 170 peers each send most of an array of five strings of 64 KiB and stay.

Cause: any of eight words of a command could have 64 KiB, though only a body may; the shorter bound of the others was checked when all was in memory. Up to 82 KB of each request were held a second time for a hand-over. The connections were bounded by the descriptors alone, so no bound knew of limits.memory_mb. With requests that are in form (one body each) a node of 32 MB with 1,024 descriptors went over its limit too.

Change: an argument other than the body is read and dropped over 1 KiB, as a body over 64 KiB is. A body over 1 KiB reserves its size in a budget, a twelfth of the memory limit less the disk's, until its answer. Without room it waits unread, requests of known clients first; while any wait, requests that have brought no byte for 20 ms are refused (-BUSY: nothing was done about them) and closed. A request that gets no room within 300 ms is refused likewise. A newcomer without a slot takes that of a stalled request, if none is idle. A hand-over encodes the command anew in place of the second copy.

Why it works: what peers can make the node hold is the budget, and some 20 KB a connection; a peer that stops in the middle of a request loses its room to the next one after 20 ms, so a client's large request finds room in its 400 ms.

Ruled out: a limit of connections by memory (a third of the descriptors is the clients' due), shorter time limits for requests (cut requests are sound).

--- a/cmd/harrierramp/size_test.go
+++ b/cmd/harrierramp/size_test.go
@@ -20,16 +20,11 @@
 
 // A node with 1,024 peers and 1,024 endpoints starts and delivers within the smallest limits that the platform sets: 32
 // MB of memory and 256 file descriptors. Each endpoint has a destination of its own, and names are as long as the
-// platform's. The test builds the program itself, because a test binary with the race detector needs many times the
-// memory.
+// platform's.
 func TestThousandPeersAndEndpointsFitMinimumLimits(t *testing.T) {
 	t.Parallel()
 	const size, maxMB = 1024, 32
-	dir := t.TempDir()
-	program := filepath.Join(dir, "harrierramp")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	dir, program := t.TempDir(), buildProgram(t)
 	called := make(chan string, size)
 	partner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { called <- r.Header.Get("X-Trace-Id") }))
 	defer partner.Close()
--- a/cmd/harrierramp/strangers_test.go
+++ b/cmd/harrierramp/strangers_test.go
@@ -38,6 +38,8 @@
 	limit nodeLimits
 	act   func(nc net.Conn) // sends what the peer has to send; the caller reads until the connection ends
 	again bool              // connect again after the end, until strangerTime is over
+	// bigBodies makes the sound clients' messages for the answering destination almost as large as they may be.
+	bigBodies bool
 }
 
 // nodeLimits are the limits of a node, as the platform's configuration names them.
@@ -48,6 +50,7 @@
 // Guards against starving the event loop: whatever peers send to the clients' port, clients get their answers, and
 // messages that were accepted get their final answers in time.
 func TestStrangersDoNotDelayFinalAnswers(t *testing.T) {
+	program := buildProgram(t)
 	const logLine = "2026-12-04T08:30:00Z web-3 nginx[711]: 10.0.3.7 GET /offres 200 0.012\n"
 	for _, s := range []strangers{
 		{name: "lines of a log", count: 60, act: send(strings.Repeat(logLine, 512<<10/len(logLine)))},
@@ -60,7 +63,34 @@
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			s.limit = usualLimits
-			playStrangers(t, s)
+			playStrangers(t, program, s)
+		})
+	}
+}
+
+// Guards against being killed for memory: whatever part of a request peers send and stay, the node holds less than its
+// limit, and still accepts the large requests of its clients.
+func TestStrangersDoNotExhaustMemory(t *testing.T) {
+	program := buildProgram(t)
+	const bodyBytes = 64 << 10
+	body := strings.Repeat("x", bodyBytes)
+	inPart := func(text string) func(net.Conn) { return send(text[:len(text)-2]) }
+	request := testkit.EnqueueRequest("id", "c=status,d=8000,dest=1", body)
+	fiveBodies := testkit.EncodeRESP(body, body, body, body, body)
+	smallest := nodeLimits{memoryMB: 32, sockets: 1024}
+	for _, s := range []strangers{
+		{name: "arrays of five bodies in part", count: 170, act: inPart(fiveBodies), limit: nodeLimits{memoryMB: 64, sockets: 544}},
+		{name: "requests in part", count: 170, act: inPart(request), limit: nodeLimits{memoryMB: 64, sockets: 544}},
+		{name: "arrays in part, least memory", count: 330, act: inPart(fiveBodies), limit: smallest},
+		{name: "requests in part, least memory", count: 330, act: inPart(request), limit: smallest},
+		{name: "requests in part again and again, least memory", count: 300, act: inPart(request), limit: smallest, again: true},
+		{name: "announced bodies, least memory", count: 330, act: send(request[:len(request)-bodyBytes]), limit: smallest},
+		{name: "small arguments in part, least memory", count: 330, act: inPart(testkit.EncodeRESP(strings.Split(strings.Repeat(body[:1<<10]+" ", 8)[:8<<10], " ")...)), limit: smallest},
+		{name: "answers that nobody reads", count: 330, act: send(strings.Repeat("PING\r\n", 64<<10)), limit: smallest},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			s.bigBodies = true
+			playStrangers(t, program, s)
 		})
 	}
 }
@@ -70,15 +100,18 @@
 }
 
 // playStrangers runs a node with sound clients, lets the strangers connect, and checks the rules.
-func playStrangers(t *testing.T, s strangers) {
+func playStrangers(t *testing.T, program string, s strangers) {
 	t.Helper()
-	n := startLimitedNode(t, s.limit)
+	n := startLimitedNode(t, program, s.limit)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	var requests, unanswered atomic.Int64
+	var requests, unanswered, refused atomic.Int64
 	for i := range soundClients {
 		clients.Go(func() {
-			c := soundClient{node: n, number: i}
+			c := soundClient{node: n, number: i, body: "body"}
+			if s.bigBodies {
+				c.body = strings.Repeat("x", 60<<10)
+			}
 			defer c.disconnect()
 			for number := 0; ; number++ {
 				select {
@@ -87,8 +120,11 @@
 				case <-time.After(soundInterval):
 				}
 				requests.Add(1)
-				if !c.submit(number) {
+				switch line := c.submit(number); {
+				case line == "":
 					unanswered.Add(1)
+				case line != "+OK":
+					refused.Add(1)
 				}
 			}
 		})
@@ -115,7 +151,7 @@
 	violations := n.ledger.verify()
 	n.ledger.mu.Lock()
 	defer n.ledger.mu.Unlock()
-	t.Logf("%v; %d requests, %d unanswered; %.1f MB at most", n.ledger.counts, requests.Load(), unanswered.Load(), float64(n.peakKB.Load())/1024)
+	t.Logf("%v; %d requests, %d unanswered, %d refused; %.1f MB at most", n.ledger.counts, requests.Load(), unanswered.Load(), refused.Load(), float64(n.peakKB.Load())/1024)
 	for _, v := range violations[:min(len(violations), 3)] {
 		t.Error(v)
 	}
@@ -128,6 +164,9 @@
 	if unanswered.Load()*20 > requests.Load() {
 		t.Errorf("%d of %d requests of sound clients got no answer within %v", unanswered.Load(), requests.Load(), clientTimeout)
 	}
+	if refused.Load()*20 > requests.Load() {
+		t.Errorf("%d of %d requests of sound clients were refused", refused.Load(), requests.Load())
+	}
 	if neglected.Load() > 0 {
 		t.Errorf("%d strangers got neither an answer nor a close within %v", neglected.Load(), strangerPatience)
 	}
@@ -163,19 +202,21 @@
 	br     *bufio.Reader
 }
 
-// submit submits a message, and returns whether it was answered within clientTimeout.
-func (c *soundClient) submit(number int) bool {
+// submit submits a message for one destination or the other and returns the answer; an empty line means that none came
+// within clientTimeout. Messages for the silent destination are small, since they stay in the journal.
+func (c *soundClient) submit(number int) string {
 	id := fmt.Sprintf("m%dx%d", c.number, number)
 	dest := answeringDest + number%2
-	if c.body == "" {
-		c.body = "body"
+	body := c.body
+	if dest == silentDest {
+		body = "body"
 	}
-	request := testkit.EnqueueRequest(id, fmt.Sprintf("c=status,d=%d,dest=%d", messageTTL.Milliseconds(), dest), c.body)
+	request := testkit.EnqueueRequest(id, fmt.Sprintf("c=status,d=%d,dest=%d", messageTTL.Milliseconds(), dest), body)
 	for reused := c.nc != nil; ; reused = false {
 		if c.nc == nil {
 			nc, err := net.DialTimeout("tcp", c.node.addr, clientTimeout)
 			if err != nil {
-				return false
+				return ""
 			}
 			c.nc, c.br = nc, bufio.NewReader(nc)
 		}
@@ -188,11 +229,11 @@
 		}
 		if err == nil {
 			c.node.ledger.recordAnswer(id, strings.TrimSpace(line))
-			return true
+			return strings.TrimSpace(line)
 		}
 		c.disconnect()
 		if !reused || os.IsTimeout(err) {
-			return false
+			return ""
 		}
 	}
 }
@@ -216,26 +257,20 @@
 	peakKB atomic.Int64 // the most private memory that the process has held
 }
 
-// limitedProgram builds the program. A test binary with the race detector would need many times the memory.
-var limitedProgram = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "harrierramp")
-	if err != nil {
-		return "", err
-	}
-	program := filepath.Join(dir, "harrierramp")
+// buildProgram builds the program and returns its path. A test binary with the race detector needs many times the
+// memory.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "harrierramp")
 	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
+		t.Fatalf("%v: %s", err, out)
 	}
-	return program, nil
-})
+	return program
+}
 
 // startLimitedNode starts a node with a destination that answers and one that never does.
-func startLimitedNode(t *testing.T, limits nodeLimits) *limitedNode {
+func startLimitedNode(t *testing.T, program string, limits nodeLimits) *limitedNode {
 	t.Helper()
-	program, err := limitedProgram()
-	if err != nil {
-		t.Fatal(err)
-	}
 	n := &limitedNode{t: t, addr: nodeAddress(t), door: nodeAddress(t), ledger: newFaultLedger(), limits: limits, ended: make(chan struct{})}
 	p := newFakePlatform(t, n.ledger, []string{
 		member("e1", newFaultEndpoint(t, n.ledger, func() reply { return replyDelivered }), answeringDest),
--- a/internal/ingress/close_test.go
+++ b/internal/ingress/close_test.go
@@ -112,7 +112,7 @@
 	if _, err := in.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) || !in.pollPending(err) {
 		t.Fatalf("%v, and the pending request was not found", err)
 	}
-	if got := string(in.unanswered()); got != testkit.EncodeRESP("PING") {
+	if got := string(in.prefix); got != testkit.EncodeRESP("PING") {
 		t.Errorf("%q is to be replayed", got)
 	}
 	if in.pollPending(io.EOF) {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"harrierramp/internal/fairqueue"
@@ -30,6 +32,7 @@
 	closeProtocolError     closeReason = "protocol error"
 	closeUnusable          closeReason = "too many commands that are no request"
 	closeConnBroken        closeReason = "connection error"
+	closeOverloaded        closeReason = "the request was stopped for others" // its memory or slot was needed
 
 	keepServing closeReason = "" // the connection is not to be closed
 )
@@ -55,14 +58,17 @@
 	lastActivity time.Time
 	requestStart time.Time // zero between requests
 	hadRequest   bool
-	unusable     int // commands in a row that were no request
+	hadUsable    bool  // the last command was a request or a PING
+	unusable     int   // commands in a row that were no request
+	reserved     int64 // bytes of the server's memory budget
 }
 
 func newClientConn(s *Server, nc net.Conn, start connStart) *clientConn {
 	turn := s.scheduler.NewFlow()
 	input := newConnReader(nc, turn, start.unanswered)
+	r := bufio.NewReaderSize(input, readBufferBytes)
 	return &clientConn{
-		server: s, nc: nc, turn: turn, input: input, r: bufio.NewReaderSize(input, readBufferBytes),
+		server: s, nc: nc, turn: turn, input: input, r: r,
 		lastActivity: start.lastActivity, requestStart: start.requestStart, hadRequest: start.hadRequest,
 	}
 }
@@ -100,7 +106,6 @@
 // awaitCommand waits until the first byte of a command can be read. If arrived is false, the connection is to be closed,
 // unless reason is keepServing.
 func (c *clientConn) awaitCommand() (arrived bool, reason closeReason, err error) {
-	c.input.resetRecording(c.r)
 	// Set the deadline before updateState, because interruptRead overwrites the deadline of an idle connection.
 	if err := c.nc.SetDeadline(c.lastActivity.Add(idleTimeout)); err != nil {
 		return false, closeConnBroken, err
@@ -123,7 +128,7 @@
 	if !c.server.handingOver() {
 		return reason
 	}
-	if c.handOver() {
+	if c.handOver(nil) {
 		return closeHandedOver
 	}
 	return keepServing
@@ -139,7 +144,8 @@
 		return closeConnBroken, err
 	}
 	c.turn.Begin()
-	args, err := readCommand(c.r)
+	args, err := c.readCommand()
+	defer c.releaseMemory()
 	switch {
 	case err == nil && len(args) == 0:
 		return c.serveEmptyCommand()
@@ -151,12 +157,59 @@
 			return closeWriteFailed, writeErr
 		}
 		return closeProtocolError, err
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, errBodyTooLarge), errors.Is(err, errArgTooLarge):
 		return c.finishCommand(Answer{ErrorText: err.Error()}.line(), false)
+	case errors.Is(err, errOverloaded), c.server.isEvicted(c.nc) && errors.Is(err, os.ErrDeadlineExceeded):
+		return c.refuse()
 	}
 	return closeIncompleteRequest, err
 }
 
+// readCommand reads a command. Meanwhile the connection may be evicted if its peer stalls.
+func (c *clientConn) readCommand() ([][]byte, error) {
+	c.input.lastInput.Store(int64(time.Since(clockOrigin)))
+	c.server.setReading(c.nc, c.input)
+	defer c.server.setReading(c.nc, nil)
+	commands := commandReader{r: c.r, reserve: c.reserveMemory}
+	return commands.read()
+}
+
+// reserveMemory reserves memory for a large body.
+func (c *clientConn) reserveMemory(bytes int) error {
+	c.turn.End()
+	defer c.turn.Begin()
+	c.input.lastInput.Store(math.MaxInt64) // while it waits, it is not the peer that has stalled
+	err := c.server.memory.acquire(int64(bytes), c.hadUsable)
+	c.input.lastInput.Store(int64(time.Since(clockOrigin)))
+	if err != nil {
+		return err
+	}
+	c.reserved += int64(bytes)
+	c.server.metrics.RequestBytes.Add(int64(bytes))
+	c.server.setHoldsMemory(c.nc, true)
+	return nil
+}
+
+// releaseMemory gives back the memory that the current command has reserved.
+func (c *clientConn) releaseMemory() {
+	if c.reserved > 0 {
+		c.server.setHoldsMemory(c.nc, false)
+		c.server.memory.release(c.reserved)
+		c.server.metrics.RequestBytes.Add(-c.reserved)
+		c.reserved = 0
+	}
+}
+
+// refuse ends the connection in the middle of a request. Nothing was done about the request, so it is refused.
+func (c *clientConn) refuse() (closeReason, error) {
+	c.releaseMemory() // others wait for it
+	c.turn.End()
+	if err := c.write(Answer{Refused: true}.line()); err != nil {
+		return closeWriteFailed, err
+	}
+	return closeOverloaded, nil
+}
+
 // requestDeadline returns the time by which the current request has to be read.
 func (c *clientConn) requestDeadline() time.Time {
 	deadline := c.requestStart.Add(requestTimeout)
@@ -170,7 +223,7 @@
 func (c *clientConn) answer(args [][]byte) (closeReason, error) {
 	line, usable := c.handleCommand(args)
 	for line == handoverSentinel {
-		if c.handOver() {
+		if c.handOver(encodeCommand(args)) {
 			return closeHandedOver, nil
 		}
 		line, usable = c.handleCommand(args)
@@ -198,7 +251,7 @@
 		return closeWriteFailed, err
 	}
 	c.lastActivity, c.requestStart, c.hadRequest = time.Now(), time.Time{}, true
-	if usable {
+	if c.hadUsable = usable; usable {
 		c.unusable = 0
 		return keepServing, nil
 	}
@@ -239,12 +292,14 @@
 	return err
 }
 
-// handOver passes the connection to the other process and reports whether that succeeded.
-func (c *clientConn) handOver() bool {
+// handOver passes the connection to the other process and reports whether that succeeded. command is the command that is
+// to be answered there, as it would be read again; nil between commands.
+func (c *clientConn) handOver(command []byte) bool {
 	c.turn.End()
 	defer c.turn.Begin()
+	ahead, _ := c.r.Peek(c.r.Buffered()) // cannot fail: asks only for buffered bytes
 	return c.server.handOverConn(c.nc, ConnHandover{
-		Unanswered: c.input.unanswered(), LastActivityUnixNano: c.lastActivity.UnixNano(), RequestStartUnixNano: c.requestStart.UnixNano(),
+		Unanswered: slices.Concat(command, ahead, c.input.prefix), LastActivityUnixNano: c.lastActivity.UnixNano(), RequestStartUnixNano: c.requestStart.UnixNano(),
 	})
 }
 
@@ -254,14 +309,16 @@
 	readByteCost    = time.Nanosecond      // processor time of copying a byte
 )
 
-// connReader reads from a connection and records what it has read since the last answer, so that another process can
-// read it again after a hand-over. Each read ends the connection's turn, and begins one when it has got bytes.
+// clockOrigin is the origin of the times that are stored as a number.
+var clockOrigin = time.Now()
+
+// connReader reads from a connection. Each read ends the connection's turn, and begins one when it has got bytes.
 type connReader struct {
-	nc       net.Conn
-	src      io.Reader // reads from nc
-	turn     *fairqueue.Flow
-	prefix   []byte // returned before anything from src
-	recorded []byte
+	nc        net.Conn
+	src       io.Reader // reads from nc
+	turn      *fairqueue.Flow
+	prefix    []byte       // returned before anything from src
+	lastInput atomic.Int64 // nanoseconds since clockOrigin: when the last byte came, or the current request began
 }
 
 func newConnReader(nc net.Conn, turn *fairqueue.Flow, prefix []byte) *connReader {
@@ -272,17 +329,17 @@
 func (t *connReader) Read(p []byte) (n int, err error) {
 	if len(t.prefix) > 0 {
 		n = copy(p, t.prefix)
-		t.prefix = t.prefix[n:]
-	} else {
-		t.turn.End()
-		n, err = t.src.Read(p)
-		if n > 0 {
-			t.turn.Charge(readCallCost + time.Duration(n)*readByteCost)
-			t.turn.Begin()
+		if t.prefix = t.prefix[n:]; len(t.prefix) == 0 {
+			t.prefix = nil // a large one is no longer needed
 		}
+		return n, nil
 	}
-	if len(t.recorded) <= maxReplayBytes { // a larger request is answered by this process
-		t.recorded = append(t.recorded, p[:n]...)
+	t.turn.End()
+	n, err = t.src.Read(p)
+	if n > 0 {
+		t.lastInput.Store(int64(time.Since(clockOrigin)))
+		t.turn.Charge(readCallCost + time.Duration(n)*readByteCost)
+		t.turn.Begin()
 	}
 	return n, err
 }
@@ -299,18 +356,6 @@
 	return err == nil
 }
 
-// resetRecording restarts the recording with what r has buffered but not consumed.
-func (t *connReader) resetRecording(r *bufio.Reader) {
-	ahead, _ := r.Peek(r.Buffered()) // cannot fail: asks only for buffered bytes
-	t.recorded = append(t.recorded[:0], ahead...)
-	if cap(t.recorded) > maxReplayBytes/16 && len(ahead) == 0 {
-		t.recorded = nil // an idle connection should not keep a large buffer
-	}
-}
-
-// unanswered returns everything that was read, or is still to be replayed, of requests without an answer.
-func (t *connReader) unanswered() []byte { return slices.Concat(t.recorded, t.prefix) }
-
 // lingeringClose closes a connection; connections that are not handed over are closed only here. Closing a socket with
 // unread input, or receiving input after that, resets the connection, and the client may lose its last answer. So the
 // write side is closed first, and further input is dropped and never served: a client whose request ends without an
--- a/internal/ingress/fuzz_test.go
+++ b/internal/ingress/fuzz_test.go
@@ -20,9 +20,14 @@
 		if len(raw) > 4<<20 {
 			t.Skip()
 		}
-		r := bufio.NewReaderSize(bytes.NewReader(raw), 4096)
+		reserved := 0
+		commands := commandReader{r: bufio.NewReaderSize(bytes.NewReader(raw), readBufferBytes), reserve: func(bytes int) error {
+			reserved += bytes
+			return nil
+		}}
 		for range len(raw) + 2 {
-			args, err := readCommand(r)
+			reserved = 0
+			args, err := commands.read()
 			if err != nil {
 				return
 			}
@@ -30,7 +35,7 @@
 			for _, a := range args {
 				held += len(a)
 			}
-			if held > maxArgs*maxBodyBytes || len(args) > maxArgs && raw[0] == '*' {
+			if held > reserved+maxArgs*maxArgBytes || reserved > maxBodyBytes || len(args) > maxArgs && raw[0] == '*' {
 				t.Fatalf("%d arguments of %d bytes altogether", len(args), held)
 			}
 			if q, err := parseEnqueue(args, testkit.TestNames, time.Now()); err == nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -4,11 +4,14 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,8 +28,7 @@
 	maxLineBytes     = 512     // a RESP length line or an inline command
 	maxDiscardBytes  = 1 << 20 // bytes read and dropped of an oversized body, so that the connection stays usable
 	maxTTL           = 24 * time.Hour
-	maxReplayBytes   = maxBodyBytes + maxArgs*maxArgBytes + 8<<10 // more than the largest request and read-ahead
-	handoverSentinel = "moved"                                    // returned instead of an answer; never written
+	handoverSentinel = "moved" // returned instead of an answer; never written
 
 	// A silent peer would occupy a connection slot forever. Clients write a request in one piece and wait 400 ms for
 	// its answer. The platform drops connections without a request after 2 s, and expects an answer or a close within
@@ -40,6 +42,8 @@
 	evictedLingerTimeout  = 20 * time.Millisecond   // lingerTimeout when a new connection waits for the slot
 	finalReadBytes        = 512                     // read without blocking when the wait for a request ends
 
+	slotRetryInterval = 50 * time.Millisecond // between evictions for one new connection
+
 	acceptCost = 10 * time.Microsecond // processor time to accept a connection and to end it
 )
 
@@ -56,6 +60,7 @@
 	metrics        *metrics.Clients
 	scheduler      *fairqueue.Scheduler // of the processor time for clients' input
 	accepting      *fairqueue.Flow      // of Serve
+	memory         *memoryBudget        // of large requests
 
 	mu           sync.Mutex
 	conns        map[net.Conn]*connState
@@ -70,22 +75,26 @@
 
 // connState is the state of an open connection.
 type connState struct {
-	idle         bool      // between requests
-	lastActivity time.Time // of the last answer, or the start of the connection
-	hadRequest   bool      // has sent at least one request
-	evicted      bool      // its slot is needed: closes once its current request, if any, is answered
-	closing      bool      // our side is closed; the client may still read its last answer
+	idle         bool        // between requests
+	lastActivity time.Time   // of the last answer, or the start of the connection
+	hadRequest   bool        // has sent at least one request
+	evicted      bool        // its slot is needed: closes once its current request, if any, is answered
+	closing      bool        // our side is closed; the client may still read its last answer
+	reading      *connReader // of the request that is being read; nil otherwise
+	holdsMemory  bool        // has reserved memory for a large request
 }
 
 // NewServer returns a Server that accepts at most maxConns connections on ln. handle is called for each message, from
 // many goroutines, and returns the answer for the client.
 func NewServer(ln net.Listener, maxConns int, names wire.Names, handle func(Request) Answer) *Server {
 	scheduler := fairqueue.New(1)
-	return &Server{
+	s := &Server{
 		metrics: new(metrics.Clients), scheduler: scheduler, accepting: scheduler.NewFlow(),
 		ln: ln, connSem: make(chan struct{}, max(maxConns, 1)), stop: make(chan struct{}), acceptDone: make(chan struct{}),
 		names: names, handle: handle, conns: map[net.Conn]*connState{}, log: slog.New(slog.DiscardHandler),
 	}
+	s.SetRequestMemory(math.MaxInt64)
+	return s
 }
 
 // SetLogger sets the logger, which records the end of each connection at debug level. It must be called before Serve.
@@ -94,6 +103,12 @@
 // SetMetrics sets the metrics to update. It must be called before Serve.
 func (s *Server) SetMetrics(m *metrics.Clients) { s.metrics = m }
 
+// SetRequestMemory bounds the memory, in bytes, of large requests that are being read or wait for their answer. It must
+// be called before Serve. Without it there is no bound.
+func (s *Server) SetRequestMemory(bytes int64) {
+	s.memory = &memoryBudget{limit: bytes, evict: func(count int) { s.evictStalled(count, true) }}
+}
+
 // SetScheduler sets the scheduler of the processor time for clients' input, which other servers of the process may
 // share. It must be called before Serve.
 func (s *Server) SetScheduler(scheduler *fairqueue.Scheduler) {
@@ -136,10 +151,7 @@
 	select {
 	case s.connSem <- struct{}{}:
 	default:
-		s.evictIdle()
-		select {
-		case s.connSem <- struct{}{}:
-		case <-s.stop:
+		if !s.awaitSlot() {
 			s.wg.Go(func() { s.lingeringClose(nc, s.scheduler.NewFlow()) }) // Close waits for this, but first starts to end the others
 			return false
 		}
@@ -161,6 +173,24 @@
 	return true
 }
 
+// awaitSlot acquires a slot for a connection, which takes an eviction. It returns false if the server is closing.
+func (s *Server) awaitSlot() bool {
+	retry := time.NewTicker(slotRetryInterval)
+	defer retry.Stop()
+	for {
+		if !s.evictIdle() {
+			s.evictStalled(1, false)
+		}
+		select {
+		case s.connSem <- struct{}{}:
+			return true
+		case <-s.stop:
+			return false
+		case <-retry.C:
+		}
+	}
+}
+
 // Adopt serves a connection that another process of this node accepted and handed over.
 func (s *Server) Adopt(nc net.Conn, m ConnHandover) {
 	now := time.Now()
@@ -258,8 +288,9 @@
 	return len(s.conns)
 }
 
-// evictIdle interrupts a connection that is closing already, or else the one that has been idle longest, if any.
-func (s *Server) evictIdle() {
+// evictIdle interrupts a connection that is closing already, or else the one that has been idle longest, and reports
+// whether there is one.
+func (s *Server) evictIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var victim net.Conn
@@ -273,9 +304,57 @@
 		}
 	}
 	if victim != nil {
-		s.conns[victim].evicted = true
-		interruptRead(victim)
+		s.evict(victim)
 	}
+	return victim != nil
+}
+
+// evictStalled interrupts up to count connections whose peer has stopped in the middle of a request for stallTimeout,
+// first the one that stopped first. If holdsMemory is set, only those count that have reserved memory.
+func (s *Server) evictStalled(count int, holdsMemory bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := int64(time.Since(clockOrigin) - stallTimeout)
+	var stalled []net.Conn
+	for nc, p := range s.conns {
+		if p.reading != nil && !p.evicted && (p.holdsMemory || !holdsMemory) && p.reading.lastInput.Load() <= newest {
+			stalled = append(stalled, nc)
+		}
+	}
+	slices.SortFunc(stalled, func(a, b net.Conn) int {
+		return cmp.Compare(s.conns[a].reading.lastInput.Load(), s.conns[b].reading.lastInput.Load())
+	})
+	for _, nc := range stalled[:min(count, len(stalled))] {
+		s.evict(nc)
+	}
+}
+
+// evict interrupts a connection for another one. The caller holds s.mu.
+func (s *Server) evict(nc net.Conn) {
+	s.conns[nc].evicted = true
+	s.metrics.Evicted.Add(1)
+	interruptRead(nc)
+}
+
+// isEvicted reports whether a connection is to end for another one.
+func (s *Server) isEvicted(nc net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns[nc].evicted
+}
+
+// setReading records that a request is being read by way of input, or that none is if input is nil.
+func (s *Server) setReading(nc net.Conn, input *connReader) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[nc].reading = input
+}
+
+// setHoldsMemory records whether a connection has reserved memory.
+func (s *Server) setHoldsMemory(nc net.Conn, holds bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[nc].holdsMemory = holds
 }
 
 // interruptRead ends a connection's wait for a request by an expired read deadline. It does not close the connection,
--- a/internal/ingress/resp.go
+++ b/internal/ingress/resp.go
@@ -12,15 +12,28 @@
 // This package has its own RESP reader because redcon v1.6.4 indexes out of its buffer on a bulk length near the
 // largest integer, loops over any array count that a client sends, and buffers requests without bound.
 
+// bodyIndex is the index of the body among the arguments of ENQUEUE, the only command with a long argument.
+const bodyIndex = 4
+
 // errProtocol reports malformed framing. It ends the connection, because the start of the next request is unknown.
 var errProtocol = errors.New("Protocol error")
 
-// errTooLarge reports an oversized request that was read to its end, so that the connection can continue.
-var errTooLarge = errors.New("a body holds 65536 bytes at most")
+// Errors that report an oversized argument. The command was read to its end, so that the connection can continue.
+var (
+	errBodyTooLarge = errors.New("a body holds 65536 bytes at most")
+	errArgTooLarge  = errors.New("an argument other than the body holds 1024 bytes at most")
+)
+
+// commandReader reads commands within the size limits of this package. At any time it holds at most maxArgs arguments
+// of maxArgBytes, and a body for which reserve has granted the memory.
+type commandReader struct {
+	r       *bufio.Reader
+	reserve func(bytes int) error // called before a body of more than maxArgBytes is read
+}
 
-// readCommand reads an array of bulk strings or an inline command within the size limits above.
-func readCommand(r *bufio.Reader) ([][]byte, error) {
-	line, err := readLine(r)
+// read reads an array of bulk strings or an inline command.
+func (c *commandReader) read() ([][]byte, error) {
+	line, err := readLine(c.r)
 	if err != nil || len(line) == 0 {
 		return nil, err
 	}
@@ -36,39 +49,60 @@
 		return nil, fmt.Errorf("%w: invalid multibulk length", errProtocol)
 	}
 	args := make([][]byte, 0, count)
-	tooLarge := false
-	for range count {
-		line, err := readLine(r)
-		if err != nil {
-			return nil, unexpectedEOF(err)
-		}
-		if len(line) == 0 || line[0] != '$' {
-			return nil, fmt.Errorf("%w: expected '$'", errProtocol)
+	var oversized error
+	for i := range count {
+		arg, err := c.readArg(i)
+		if errors.Is(err, errBodyTooLarge) || errors.Is(err, errArgTooLarge) {
+			oversized = err
+		} else if err != nil {
+			return nil, err
 		}
-		size, err := strconv.Atoi(string(line[1:]))
-		if err != nil || size < 0 || size > maxDiscardBytes {
-			return nil, fmt.Errorf("%w: invalid bulk length", errProtocol)
-		}
-		if size > maxBodyBytes {
-			tooLarge = true
-			if _, err := r.Discard(size); err != nil {
-				return nil, unexpectedEOF(err)
-			}
-			size = 0
+		args = append(args, arg)
+	}
+	if oversized != nil {
+		return nil, oversized
+	}
+	return args, nil
+}
+
+// readArg reads the bulk string of an argument. Of an oversized one it keeps nothing.
+func (c *commandReader) readArg(index int) ([]byte, error) {
+	line, err := readLine(c.r)
+	if err != nil {
+		return nil, unexpectedEOF(err)
+	}
+	if len(line) == 0 || line[0] != '$' {
+		return nil, fmt.Errorf("%w: expected '$'", errProtocol)
+	}
+	size, err := strconv.Atoi(string(line[1:]))
+	if err != nil || size < 0 || size > maxDiscardBytes {
+		return nil, fmt.Errorf("%w: invalid bulk length", errProtocol)
+	}
+	var oversized error
+	switch {
+	case size > maxBodyBytes && index == bodyIndex:
+		oversized = errBodyTooLarge
+	case size > maxArgBytes && index != bodyIndex:
+		oversized = errArgTooLarge
+	case size > maxArgBytes:
+		if err := c.reserve(size); err != nil {
+			return nil, err
 		}
-		arg := make([]byte, size+2)
-		if _, err := io.ReadFull(r, arg); err != nil {
+	}
+	if oversized != nil {
+		if _, err := c.r.Discard(size); err != nil {
 			return nil, unexpectedEOF(err)
 		}
-		if string(arg[size:]) != "\r\n" {
-			return nil, fmt.Errorf("%w: a bulk string of another length than told", errProtocol)
-		}
-		args = append(args, arg[:size:size])
+		size = 0
 	}
-	if tooLarge {
-		return nil, errTooLarge
+	arg := make([]byte, size+len("\r\n"))
+	if _, err := io.ReadFull(c.r, arg); err != nil {
+		return nil, unexpectedEOF(err)
 	}
-	return args, nil
+	if string(arg[size:]) != "\r\n" {
+		return nil, fmt.Errorf("%w: a bulk string of another length than told", errProtocol)
+	}
+	return arg[:size:size], oversized
 }
 
 // unexpectedEOF turns io.EOF into io.ErrUnexpectedEOF, to tell an end inside a request from one between requests.
@@ -92,3 +126,15 @@
 	}
 	return []byte(strings.TrimRight(string(line), "\r\n")), nil
 }
+
+// encodeCommand returns a command as an array of bulk strings, as it would be read again.
+func encodeCommand(args [][]byte) []byte {
+	var b []byte
+	b = fmt.Appendf(b, "*%d\r\n", len(args))
+	for _, a := range args {
+		b = fmt.Appendf(b, "$%d\r\n", len(a))
+		b = append(b, a...)
+		b = append(b, "\r\n"...)
+	}
+	return b
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,6 +217,9 @@
 	n.ingress.SetLogger(n.log)
 	n.ingress.SetMetrics(&n.metrics.Clients)
 	n.ingress.SetScheduler(n.inputScheduler)
+	if n.cfg.Limits.Memory > 0 {
+		n.ingress.SetRequestMemory(ingress.RequestMemory((n.cfg.Limits.Memory - n.cfg.Limits.Disk).Bytes()))
+	}
 	n.ingress.SetNotReadyReason(n.unavailableReason)
 	n.ingress.Pause()
 	background.Go(func() { n.ingress.Serve(processCtx) })
