Let a connection rest after an answer, so that what follows it is no answer

Seen by callers: with endpoints that send a second copy of a good answer straight after it, messages are lost: taken on, never delivered, and never ended by a notice.

Cause: a connection went back to the pool when its answer had been read, and the next call could write to it at once. Bytes behind the answer were looked for in the buffer and on the socket right before the write. A copy that is on its way then is read as the answer to the next call, which counts as delivered, or as reset.

Change: a connection rests for 5 ms after an answer (settleTime) before it serves another call. Calls take one that has settled, or wait for the one that settles first; the watch of idle connections goes on meanwhile and closes one that gets a byte. A context that ends meanwhile ends the call as not sent.

Why it works: the network keeps the order, so copy and answer are apart by the endpoint's own delay alone, and one that knows of the next request sends no copy.

Not taken: a new connection for each call (endpoints hold few), marking answers (the protocol has no id in them), looking at the socket once more after the write (an answer on loopback can be there by then).

--- /dev/null
+++ b/cmd/harrierramp/answers_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"harrierramp/internal/testkit"
+)
+
+const (
+	errorResponse  = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+	maxExtraDelay  = 2 * time.Millisecond // from a response to the bytes that an endpoint sends straight after it
+	quickInterval  = 5 * time.Millisecond // between a client's requests, so that connections are used again at once
+	answersTestRNG = 1                    // seed
+)
+
+// Guards against giving a message the outcome of another one: endpoints send a second copy of a good response, or noise,
+// straight after it. Every accepted message is delivered by its own response, or gets its own final answer.
+func TestBytesAfterAnswersAreNoOutcome(t *testing.T) {
+	playStrangers(t, buildProgram(t), strangers{limit: usualLimits, interval: quickInterval, mayRefuse: true, endpoint: newVerboseEndpoint})
+}
+
+// newVerboseEndpoint starts an endpoint that sends more than belongs to most of its good responses, and answers a quarter
+// of the calls with an error.
+func newVerboseEndpoint(t *testing.T, l *faultLedger) string {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(answersTestRNG, 0))
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.IntN(n)
+	}
+	return testkit.NewPartner(t, func(nc net.Conn, req *http.Request) bool {
+		id := req.Header.Get("X-Trace-Id")
+		l.recordCall(id, true)
+		kind := draw(4)
+		if kind == 0 {
+			_, err := io.WriteString(nc, errorResponse)
+			return err == nil
+		}
+		extra := []string{"", testkit.DeliveredResponse, "\r\nnoise\x00\r\n\r\n"}[kind-1]
+		if draw(2) == 0 { // in one piece
+			_, err := io.WriteString(nc, testkit.DeliveredResponse+extra)
+			l.recordDelivery(id)
+			return err == nil
+		}
+		if _, err := io.WriteString(nc, testkit.DeliveredResponse); err != nil {
+			return false
+		}
+		l.recordDelivery(id)
+		time.Sleep(time.Duration(draw(int(maxExtraDelay))))
+		_, err := io.WriteString(nc, extra)
+		return err == nil
+	}).Addr()
+}
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -42,6 +42,9 @@
 	responseRestTimeout  = time.Second
 	localRetryTimeout    = 250 * time.Millisecond // for a local shortage of sockets, addresses or routes to pass
 	deliveredRestTimeout = 250 * time.Millisecond
+	// settleTime is how long a connection rests after an answer. What an endpoint sends straight after an answer, such as
+	// a second copy, would otherwise be taken for the answer to the next request.
+	settleTime = 5 * time.Millisecond
 )
 
 // Call is one delivery attempt to be made.
@@ -94,6 +97,7 @@
 	br          *bufio.Reader
 	watchDone   chan error // receives the read error that ended the idle watch
 	release     func()     // releases the connection slot; idempotent
+	answeredAt  time.Time  // when its last answer was read; zero if it has had none
 }
 
 // NewPool returns a pool that holds at most maxConns connections, which leaves the other descriptors of the process to
@@ -117,9 +121,12 @@
 	if c.mustNotStart(ctx) {
 		return Result{Outcome: choice.NotSent}
 	}
-	k := p.takeIdle(c.Endpoint)
+	k := p.takeIdle(ctx, c.Endpoint)
 	reused := k != nil
 	if !reused {
+		if c.mustNotStart(ctx) {
+			return Result{Outcome: choice.NotSent}
+		}
 		var err error
 		if k, err = p.openConn(ctx, c.Endpoint.Addr); errors.Is(err, errNoConnCapacity) || (err != nil && p.closeCtx.Err() != nil) {
 			return Result{Outcome: choice.NotSent}
@@ -139,6 +146,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { k.Close() })
 	res, reuse := k.roundTrip(ctx, request, p.requestsWritten)
+	k.answeredAt = time.Now()
 	if stop() && reuse {
 		p.putIdle(c.Endpoint, k)
 	} else {
@@ -391,19 +399,18 @@
 	return r
 }
 
-// takeIdle removes and returns the most recently used idle connection that is still usable, or returns nil if there is
-// none.
-func (p *Pool) takeIdle(e *Endpoint) *conn {
-	for {
-		p.mu.Lock()
-		kept := p.idleConns[e.ID]
-		if len(kept) == 0 {
-			p.mu.Unlock()
+// takeIdle removes and returns the most recently used idle connection that has settled and is still usable. If none has
+// settled, it waits for the one that settles first. It returns nil if there is no idle connection.
+func (p *Pool) takeIdle(ctx context.Context, e *Endpoint) *conn {
+	for ctx.Err() == nil {
+		k := p.removeSettled(e)
+		if k == nil {
 			return nil
 		}
-		k := kept[len(kept)-1]
-		p.removeIdle(e.ID, len(kept)-1)
-		p.mu.Unlock()
+		if !k.awaitSettled(ctx) {
+			k.Close()
+			continue
+		}
 		// Interrupt the read of the idle watch. Had it seen an end or a byte, it would not end with this timeout. It
 		// may have missed what arrived since its last read, and then a request would be certain to fail with a reset.
 		k.SetReadDeadline(time.Unix(1, 0))
@@ -414,6 +421,50 @@
 		}
 		k.Close()
 	}
+	return nil
+}
+
+// removeSettled removes and returns the most recently used idle connection that has settled, or else the one that settles
+// first, or nil if there is no idle connection.
+func (p *Pool) removeSettled(e *Endpoint) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idleConns[e.ID]
+	if len(kept) == 0 {
+		return nil
+	}
+	now, i := time.Now(), 0
+	for n, k := range slices.Backward(kept) {
+		if k.untilSettled(now) <= 0 {
+			i = n
+			break
+		}
+	}
+	k := kept[i]
+	p.removeIdle(e.ID, i)
+	return k
+}
+
+// untilSettled returns how long the connection still has to rest.
+func (k *conn) untilSettled(now time.Time) time.Duration { return settleTime - now.Sub(k.answeredAt) }
+
+// awaitSettled waits until a connection that was removed from the idle ones has settled. It returns false if the idle
+// watch sees an end or a byte meanwhile, or if ctx ends; the connection is of no use then.
+func (k *conn) awaitSettled(ctx context.Context) bool {
+	wait := k.untilSettled(time.Now())
+	if wait <= 0 {
+		return true
+	}
+	settled := time.NewTimer(wait)
+	defer settled.Stop()
+	select {
+	case <-settled.C:
+		return true
+	case <-k.watchDone:
+		return false
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // isQuiet reports whether an idle connection is unchanged since its last call: no input has arrived, and it is not
--- a/internal/egress/races_test.go
+++ b/internal/egress/races_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -82,6 +84,79 @@
 	}
 }
 
+// Guards against taking a second copy of a response, or other bytes that an endpoint sends straight after one, for the
+// response to the next call. The first call must succeed, and the second one must get its own outcome.
+func TestBytesAfterResponseAreNotTheNextResponse(t *testing.T) {
+	for name, extra := range map[string]string{
+		"a second copy": testkit.DeliveredResponse, "a partial line": "HTTP/1.", "noise": "\r\n\x00garbage\r\n\r\n",
+		"an informational response": "HTTP/1.1 100 Continue\r\n\r\n",
+	} {
+		for _, delay := range []time.Duration{0, 200 * time.Microsecond, time.Millisecond, settleTime / 2} {
+			t.Run(fmt.Sprintf("%s after %v", name, delay), func(t *testing.T) {
+				const tries = 50
+				for range tries {
+					if playExtraBytes(t, extra, delay) {
+						return
+					}
+				}
+				t.Errorf("no verdict: in %d tries the endpoint never sent its bytes within %v", tries, settleTime)
+			})
+		}
+	}
+}
+
+// playExtraBytes makes two calls. The endpoint sends extra bytes after its first response. It returns false if the
+// endpoint was held up and sent them later than straight after the response.
+func playExtraBytes(t *testing.T, extra string, delay time.Duration) (inTime bool) {
+	var calls atomic.Int64
+	took := make(chan time.Duration, 1)
+	p := testkit.NewPartner(t, func(nc net.Conn, _ *http.Request) bool {
+		if calls.Add(1) > 1 {
+			_, err := io.WriteString(nc, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+			return err == nil
+		}
+		began := time.Now()
+		if _, err := io.WriteString(nc, testkit.DeliveredResponse); err != nil {
+			t.Error(err)
+		}
+		for time.Since(began) < delay { // a sleep would be too long
+			runtime.Gosched()
+		}
+		_, err := io.WriteString(nc, extra)
+		took <- time.Since(began)
+		return err == nil
+	})
+	pool, e := testPool(), endpointAt(p.Addr())
+	defer pool.Close()
+	first := pool.Do(t.Context(), testCall(e))
+	second := pool.Do(t.Context(), testCall(e))
+	if <-took >= settleTime {
+		return false
+	}
+	if first.Outcome != choice.Success {
+		t.Errorf("first call: %+v", first)
+	}
+	if second.Outcome != choice.ServerError || second.Reused {
+		t.Errorf("second call: %+v", second)
+	}
+	return true
+}
+
+// A connection that has settled is preferred, and calls in a row use one connection.
+func TestSettledConnsAreReused(t *testing.T) {
+	p := testkit.NewPartner(t, testkit.RespondWith(testkit.DeliveredResponse))
+	pool, e := testPool(), endpointAt(p.Addr())
+	defer pool.Close()
+	for range 10 {
+		if res := pool.Do(t.Context(), testCall(e)); res.Outcome != choice.Success {
+			t.Errorf("%+v", res)
+		}
+	}
+	if calls, conns := p.Counts(); calls != 10 || conns != 1 {
+		t.Errorf("%d calls on %d connections", calls, conns)
+	}
+}
+
 // A response that starts and never ends must not hold its slot for long. It counts as delivered if its status line has
 // 200, and proves nothing otherwise.
 func TestEndlessResponsesReleaseSlot(t *testing.T) {
