Bound the head of an endpoint's answer by itself

Seen by callers: a node of 32 MB is killed for memory while endpoints' answers stop in a head of many short lines.

Cause: head and body had one limit of 96 KiB together, and each line of a head costs over a hundred bytes once it is parsed: 88 KiB of short lines take some 1.3 MB, in each call in flight, until the answer's second is over.

Change: the head of an answer, an interim one's too, has a limit of its own of 16 KiB; the body has 64 KiB, and 16 KiB for framing and trailers.

--- a/cmd/harrierramp/answers_test.go
+++ b/cmd/harrierramp/answers_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -58,3 +60,28 @@
 		return err == nil
 	}).Addr()
 }
+
+// Guards against being killed for memory by the answers of endpoints: all slots get an answer of short header lines, or
+// many interim ones, that stops before its end.
+func TestAnswersDoNotExhaustMemory(t *testing.T) {
+	program := buildProgram(t)
+	var lines strings.Builder
+	for i := range 11 << 10 {
+		fmt.Fprintf(&lines, "k%x:\r\n", i)
+	}
+	for name, text := range map[string]string{
+		"header lines":      "HTTP/1.1 500 Internal Server Error\r\n" + lines.String(),
+		"interim responses": strings.Repeat("HTTP/1.1 103 Early Hints\r\n"+lines.String()[:4<<10]+"\r\n", 7) + "HTTP/1.1 500 Internal Server Error\r\n" + lines.String(),
+		"trailers":          "HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\nTrailer: k0\r\n\r\n0\r\n" + lines.String(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			playStrangers(t, program, strangers{limit: nodeLimits{memoryMB: 32, sockets: 1024}, workers: 256, interval: quickInterval, mayRefuse: true, endpoint: func(t *testing.T, l *faultLedger) string {
+				return testkit.NewPartner(t, func(nc net.Conn, req *http.Request) bool {
+					l.recordCall(req.Header.Get("X-Trace-Id"), true)
+					io.WriteString(nc, text) // an error means that the node has ended the connection
+					return testkit.NeverRespond(nc, req)
+				}).Addr()
+			}})
+		})
+	}
+}
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -30,7 +30,7 @@
 // one Write.
 
 const (
-	maxResponseHeaderBytes    = 32 << 10
+	maxResponseHeaderBytes    = 16 << 10 // also of trailers and the framing of a chunked body
 	maxResponseBodyBytes      = 64 << 10
 	idleTimeoutMargin         = 400 * time.Millisecond // the endpoint's idle timer starts a transit time earlier
 	loadHeader                = "Endpoint-Load-Metrics"
@@ -294,7 +294,7 @@
 // started, it must end within responseRestTimeout or deliveredRestTimeout.
 func (k *conn) readResponse() (Result, bool, error) {
 	for range maxInformationalResponses {
-		k.limitReader.N = maxResponseHeaderBytes + maxResponseBodyBytes
+		k.limitReader.N = maxResponseHeaderBytes
 		delivered := false
 		if k.awaitFirstByte() {
 			if delivered = k.peekStatusOK(); delivered {
@@ -302,6 +302,7 @@
 			}
 		}
 		resp, err := http.ReadResponse(k.br, nil)
+		k.limitReader.N = maxResponseBodyBytes + maxResponseHeaderBytes
 		if err == nil && resp.StatusCode < 200 {
 			if err = k.SetReadDeadline(time.Time{}); err == nil {
 				continue // the final response has no time limit until it starts
