Bound what callers of the operators' API make the node do and hold

Seen by callers: while 32 peers call GET /metrics without end, or send parts of calls, 37 of 59 (38 of 64) calls of an operator get no answer within 1 s, and the node's private memory rises from 7 to 26 MB.

Cause: eight connections were the only bound. The accepting goroutine could run for a whole slice of the scheduler and closed each connection for later ones before its request was read. A connection that was closed so still had its goroutine and buffers: package net/http keeps them for 0.5 s after an oversized head or an unread body. Each text was rendered by all callers at once, beside the event loop.

Change: accepting and rendering take turns of the scheduler that clients' input takes (fairqueue); the accepting goroutine yields to the connections that it has accepted; a connection whose request was read is closed for another one last; what net/http still holds is bounded (64), and a head of over 16 KiB ends the connection at once.

--- a/cmd/harrierramp/strangers_test.go
+++ b/cmd/harrierramp/strangers_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -26,6 +27,8 @@
 	strangerPatience = 3 * time.Second        // a stranger gets an error line or a close within this time
 	soundInterval    = 50 * time.Millisecond  // between the requests of one sound client
 	soundClients     = 5                      // each for both destinations in turn
+	callInterval     = 100 * time.Millisecond // between an operator's calls
+	callTimeout      = time.Second            // how long an operator waits
 	messageTTL       = 800 * time.Millisecond // of messages; those for the silent destination end by a notice
 	answeringDest    = 1
 	silentDest       = 2
@@ -45,7 +48,9 @@
 	interval time.Duration // soundInterval if 0
 	// mayRefuse allows any share of refusals, because the sound clients send more than the endpoints take.
 	mayRefuse bool
-	workers   int // calls in flight at most; that of faultSettings if 0
+	door      bool // the peers connect to the operators' API
+	datagrams int  // this many datagrams come from a node of the fleet, and as many from elsewhere
+	workers   int  // calls in flight at most; that of faultSettings if 0
 }
 
 // nodeLimits are the limits of a node, as the platform's configuration names them.
@@ -65,6 +70,9 @@
 		{name: "unknown commands", count: 120, act: send(strings.Repeat(testkit.EncodeRESP("LPUSH", "list", "entry"), 4<<10))},
 		{name: "requests of no class", count: 120, act: send(strings.Repeat(testkit.EnqueueRequest("id", "c=none,d=8000,dest=1", "b"), 4<<10))},
 		{name: "oversized bodies", count: 60, act: send(strings.Repeat(testkit.EnqueueRequest("id", "c=status,d=8000,dest=1", strings.Repeat("x", 512<<10)), 4))},
+		{name: "operators' calls without end", count: 32, act: send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"), again: true, door: true},
+		{name: "parts of operators' calls without end", count: 32, act: send("GET /metrics HTTP/1.1\r\nX-Long: " + strings.Repeat("x", 16<<10)), again: true, door: true},
+		{name: "datagrams", datagrams: 200000},
 		{name: "new connections without end", count: 60, act: send("GET / HTTP/1.1\r\n\r\n" + strings.Repeat(logLine, 100)), again: true},
 	} {
 		t.Run(s.name, func(t *testing.T) {
@@ -147,19 +155,37 @@
 			}
 		})
 	}
+	var calls, failedCalls atomic.Int64
+	clients.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(callInterval):
+			}
+			calls.Add(1)
+			if !n.isReadyForOperators() {
+				failedCalls.Add(1)
+			}
+		}
+	})
 	time.Sleep(strangerQuiet)
 	var peers sync.WaitGroup
 	var neglected atomic.Int64
-	until := time.Now().Add(strangerTime)
+	until, at := time.Now().Add(strangerTime), n.addr
+	if s.door {
+		at = n.door
+	}
 	for range s.count {
 		peers.Go(func() {
 			for served := true; served && time.Now().Before(until); served = s.again {
-				if !s.visit(n.addr) {
+				if !s.visit(at) {
 					neglected.Add(1)
 				}
 			}
 		})
 	}
+	n.flood(s.datagrams)
 	peers.Wait()
 	time.Sleep(strangerQuiet)
 	close(stop)
@@ -185,6 +211,9 @@
 	if refused.Load()*20 > requests.Load() && !s.mayRefuse {
 		t.Errorf("%d of %d requests of sound clients were refused", refused.Load(), requests.Load())
 	}
+	if failedCalls.Load()*20 > calls.Load() {
+		t.Errorf("%d of %d calls of operators got no answer within %v", failedCalls.Load(), calls.Load(), callTimeout)
+	}
 	if neglected.Load() > 0 {
 		t.Errorf("%d strangers got neither an answer nor a close within %v", neglected.Load(), strangerPatience)
 	}
@@ -269,6 +298,7 @@
 	door   string
 	ledger *faultLedger
 	limits nodeLimits
+	fleet  [2]*net.UDPAddr // the node's own address for datagrams, and that of another node
 	cmd    *exec.Cmd
 	ended  chan struct{}
 	peakKB atomic.Int64 // the most private memory that the process has held
@@ -289,14 +319,23 @@
 func startLimitedNode(t *testing.T, program string, limits nodeLimits, settings string, answering func(*testing.T, *faultLedger) string) *limitedNode {
 	t.Helper()
 	n := &limitedNode{addr: nodeAddress(t), door: nodeAddress(t), ledger: newFaultLedger(), limits: limits, ended: make(chan struct{})}
+	for i := range n.fleet {
+		addr, err := net.ResolveUDPAddr("udp4", nodeAddress(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.fleet[i] = addr
+	}
 	p := newFakePlatform(t, n.ledger, []string{
 		member("e1", answering(t, n.ledger), answeringDest),
 		member("e2", newFaultEndpoint(t, n.ledger, func() reply { return replyNever }), silentDest),
 	})
 	config := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n","listen":%q,"console":%q,"discovery":%q,"seed":"1",
-		"limits":{"cores":1,"memory_mb":%d,"sockets":%d,"disk_mb":3},"known":%s,"settings":%s}`,
-		n.addr, n.door, p.addr(), limits.memoryMB, limits.sockets, p.list(), settings)
+		"limits":{"cores":1,"memory_mb":%d,"sockets":%d,"disk_mb":3},"known":%s,"settings":%s,
+		"peer_listen":%q,"peers":[%q,%q]}`,
+		n.addr, n.door, p.addr(), limits.memoryMB, limits.sockets, p.list(), strings.Replace(settings, `"limits":{`, `"limits":{"mayTell":true,`, 1),
+		n.fleet[0], n.fleet[0], n.fleet[1])
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -373,6 +412,42 @@
 	return kb
 }
 
+// flood sends datagrams to the node: from the address of the other node of its fleet, and from one that it does not know.
+// Their texts are those of no node.
+func (n *limitedNode) flood(count int) {
+	var senders sync.WaitGroup
+	defer senders.Wait()
+	for _, from := range []*net.UDPAddr{n.fleet[1], {IP: n.fleet[1].IP}} {
+		if count == 0 {
+			return
+		}
+		conn, err := net.DialUDP("udp4", from, n.fleet[0])
+		if err != nil {
+			n.ledger.recordViolation("no verdict", "%v", err)
+			return
+		}
+		senders.Go(func() {
+			defer conn.Close()
+			text := []byte(strings.Repeat("x", 200))
+			for i := range count {
+				text[0] = byte(i)
+				conn.Write(text) // a datagram may be lost
+			}
+		})
+	}
+}
+
+// isReadyForOperators asks the operators' API whether the node is ready, and returns whether it says so in time.
+func (n *limitedNode) isReadyForOperators() bool {
+	client := http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + n.door + "/ops/readiness")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusNoContent
+}
+
 // checkRunning records a violation if the process has ended.
 func (n *limitedNode) checkRunning() {
 	select {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -4,6 +4,7 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,8 +12,11 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
+
+	"harrierramp/internal/fairqueue"
 )
 
 const (
@@ -20,9 +24,14 @@
 	// Callers wait 1 s for an answer, and some connect and never complete a request. The bound keeps those from locking
 	// out other callers and from using up the process's file descriptors.
 	MaxConnections  = 8
+	// maxServing bounds the connections whose goroutine has not ended. After some errors package net/http keeps one for
+	// 0.5 s, also if the connection was closed for another one.
+	maxServing      = 8 * MaxConnections
+	maxRequestBytes = 8 << 10                // of a request line and headers; the API has no bodies
 	requestTimeout  = 2 * time.Second        // for reading a whole request, and for writing its response
 	shutdownTimeout = 500 * time.Millisecond // for requests in progress when the server closes
 	commandTimeout  = 900 * time.Millisecond // for a change to take effect; after it the caller gets an error
+	requestCost     = 20 * time.Microsecond  // processor time to accept a connection, read a request and close
 )
 
 // Errors with which a Node refuses a request. Their texts are the bodies of HTTP responses, so they stay as they are.
@@ -49,14 +58,16 @@
 
 // Server serves the operators' HTTP API.
 type Server struct {
-	srv http.Server
-	ln  *boundedListener
-	log *slog.Logger
+	srv       http.Server
+	ln        *boundedListener
+	log       *slog.Logger
+	scheduler *fairqueue.Scheduler // of the processor time for requests
 }
 
 // NewServer returns a server that answers requests on ln for the node n once Serve runs.
 func NewServer(ln net.Listener, n Node, log *slog.Logger) *Server {
-	s := &Server{ln: &boundedListener{Listener: ln, conns: map[*boundedConn]struct{}{}}, log: log}
+	s := &Server{ln: newBoundedListener(ln), log: log}
+	s.SetScheduler(fairqueue.New(1))
 	command := func(do func(ctx context.Context, r *http.Request) error) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithTimeout(r.Context(), commandTimeout)
@@ -92,24 +103,12 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
-	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		if _, err := w.Write(n.Stats()); err != nil {
-			log.Debug("stats_not_taken", "err", err)
-		}
-	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-		if err := n.WriteMetrics(w); err != nil {
-			log.Debug("metrics_not_taken", "err", err)
-		}
-	})
-	mux.HandleFunc("GET /ops/acts", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		if err := n.WriteAuditRecord(w); err != nil {
-			log.Debug("acts_not_taken", "err", err)
-		}
-	})
+	mux.HandleFunc("GET /ops/stats", s.textHandler("text/plain; charset=utf-8", "stats_not_taken", func(w io.Writer) error {
+		_, err := w.Write(n.Stats())
+		return err
+	}))
+	mux.HandleFunc("GET /metrics", s.textHandler("text/plain; version=0.0.4; charset=utf-8", "metrics_not_taken", n.WriteMetrics))
+	mux.HandleFunc("GET /ops/acts", s.textHandler("text/plain; charset=utf-8", "acts_not_taken", n.WriteAuditRecord))
 	mux.HandleFunc("PUT /ops/log/level", func(w http.ResponseWriter, r *http.Request) {
 		if err := n.SetLogLevel(r.URL.Query().Get("level")); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -139,13 +138,41 @@
 	mux.HandleFunc("PUT /ops/drain/start", drainCommand(true))
 	mux.HandleFunc("PUT /ops/drain/stop", drainCommand(false))
 	s.srv = http.Server{
-		Handler: mux, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, MaxHeaderBytes: 8 << 10,
+		Handler: s.ln.protect(mux), ConnContext: withConn, ConnState: s.ln.connState,
+		ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, MaxHeaderBytes: maxRequestBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	s.srv.SetKeepAlivesEnabled(false)
 	return s
 }
 
+// SetScheduler sets the scheduler of the processor time for requests, which other servers of the process may share. It
+// must be called before Serve.
+func (s *Server) SetScheduler(scheduler *fairqueue.Scheduler) {
+	s.scheduler, s.ln.accepting = scheduler, scheduler.NewFlow()
+}
+
+// textHandler returns a handler that responds with what render writes. The text is rendered in one turn, and then sent to
+// a caller who may be slow. event is logged if it can't be rendered or sent.
+func (s *Server) textHandler(contentType, event string, render func(io.Writer) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		turn := s.scheduler.NewFlow()
+		turn.Begin()
+		var text bytes.Buffer
+		err := render(&text)
+		turn.End()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			s.log.Debug(event, "err", err)
+			return
+		}
+		w.Header().Set("Content-Type", contentType)
+		if _, err := w.Write(text.Bytes()); err != nil {
+			s.log.Debug(event, "err", err)
+		}
+	}
+}
+
 // Serve answers requests until Close is called.
 func (s *Server) Serve() {
 	if err := s.srv.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
@@ -162,11 +189,35 @@
 	}
 }
 
-// boundedListener limits open connections to MaxConnections by closing the oldest one when another is accepted.
+// boundedListener limits open connections to MaxConnections. When another is accepted, it closes the oldest of those that
+// have not sent a whole request yet, or else the oldest one.
 type boundedListener struct {
 	net.Listener
-	mu    sync.Mutex
-	conns map[*boundedConn]struct{}
+	accepting *fairqueue.Flow // of the goroutine that accepts
+	serving   chan struct{}   // holds one element for each connection whose goroutine has not ended
+	closed    chan struct{}
+	closeOnce sync.Once
+	mu        sync.Mutex
+	conns     map[*boundedConn]struct{}
+}
+
+func newBoundedListener(ln net.Listener) *boundedListener {
+	return &boundedListener{
+		Listener: ln, serving: make(chan struct{}, maxServing), closed: make(chan struct{}), conns: map[*boundedConn]struct{}{},
+	}
+}
+
+// connState notes the end of a connection's goroutine.
+func (l *boundedListener) connState(_ net.Conn, state http.ConnState) {
+	if state == http.StateClosed {
+		<-l.serving
+	}
+}
+
+// Close closes the listener and ends a wait in Accept.
+func (l *boundedListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
 }
 
 // boundedConn is a connection that a boundedListener keeps track of.
@@ -174,27 +225,80 @@
 	net.Conn
 	ln       *boundedListener
 	openedAt time.Time
+	handling bool // its request was read
+	received int  // bytes; of the goroutine that reads
+}
+
+// Read is part of net.Conn. It ends a connection that sends more than a request.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	if c.received > 2*maxRequestBytes {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p)
+	c.received += n
+	return n, err
+}
+
+// connKey is the context key of a request's boundedConn.
+type connKey struct{}
+
+// withConn adds a connection to the context of its requests.
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// protect returns a handler that marks the connection of a request before it passes the request to next.
+func (l *boundedListener) protect(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*boundedConn); ok {
+			l.mu.Lock()
+			c.handling = true
+			l.mu.Unlock()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// isBefore reports whether c is to be closed for another connection before o, which may be nil.
+func (c *boundedConn) isBefore(o *boundedConn) bool {
+	switch {
+	case o == nil:
+		return true
+	case c.handling != o.handling:
+		return o.handling
+	}
+	return c.openedAt.Before(o.openedAt)
 }
 
 func (l *boundedListener) Accept() (net.Conn, error) {
+	// While connections wait to be accepted, this goroutine could run for a whole time slice, and close connections for
+	// later ones before their requests are read.
+	runtime.Gosched()
+	select {
+	case l.serving <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
 	nc, err := l.Listener.Accept()
 	if err != nil {
+		<-l.serving
 		return nil, err
 	}
+	l.accepting.Spend(requestCost)
 	c := &boundedConn{Conn: nc, ln: l, openedAt: time.Now()}
 	l.mu.Lock()
-	var oldest *boundedConn
+	var victim *boundedConn
 	if len(l.conns) >= MaxConnections {
 		for o := range l.conns {
-			if oldest == nil || o.openedAt.Before(oldest.openedAt) {
-				oldest = o
+			if o.isBefore(victim) {
+				victim = o
 			}
 		}
 	}
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
-	if oldest != nil {
-		oldest.Close()
+	if victim != nil {
+		victim.Close()
 	}
 	return c, nil
 }
