Bound what a hand-over and datagrams make the node hold and do

Four bytes on the socket for successors made the owner allocate up to 64 MB before anything had come, from whoever connected; now the frame of a process that asks is bounded by 1 KiB, and any other frame takes memory for what has come. The successor read the frames in one goroutine that waited for a slot for each client connection, so while its slots were taken, outcomes of calls stayed unread behind it; adopting a connection no longer waits.

Their reader handed on as many as came; each is now booked with 20 us in the scheduler of peers' input, so that a flood takes no more than its share, and the rest is dropped in the socket's buffer.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -23,7 +23,7 @@
 	// MaxConnections bounds the open connections; when it is reached, the oldest connection is closed for a new one.
 	// Callers wait 1 s for an answer, and some connect and never complete a request. The bound keeps those from locking
 	// out other callers and from using up the process's file descriptors.
-	MaxConnections  = 8
+	MaxConnections = 8
 	// maxServing bounds the connections whose goroutine has not ended. After some errors package net/http keeps one for
 	// 0.5 s, also if the connection was closed for another one.
 	maxServing      = 8 * MaxConnections
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -21,8 +21,9 @@
 )
 
 const (
-	writeTimeout  = 2 * time.Second // for writing a frame: the other process only has to read it
-	maxFrameBytes = 64 << 20
+	writeTimeout    = 2 * time.Second // for writing a frame: the other process only has to read it
+	maxFrameBytes   = 64 << 20
+	maxRequestBytes = 1 << 10 // of the frame of a process that asks to take over, which is not trusted yet
 )
 
 // ErrBadFrame is returned for a frame that is too long, malformed, or not the expected one.
@@ -121,8 +122,20 @@
 	return nil
 }
 
+// ReceiveRequest reads the first frame from a process that has connected to the owner.
+func (l *Link) ReceiveRequest() (Frame, error) {
+	f, file, err := l.receive(maxRequestBytes)
+	if file != nil {
+		file.Close()
+	}
+	return f, err
+}
+
 // Receive reads a frame and the file descriptor that was sent with it. file is nil if there was none.
-func (l *Link) Receive() (f Frame, file *os.File, err error) {
+func (l *Link) Receive() (f Frame, file *os.File, err error) { return l.receive(maxFrameBytes) }
+
+// receive is Receive for a frame of at most maxBytes. It takes no memory for bytes that have not come.
+func (l *Link) receive(maxBytes uint32) (f Frame, file *os.File, err error) {
 	defer func() {
 		if err != nil && file != nil {
 			file.Close()
@@ -144,13 +157,16 @@
 		got += n
 	}
 	size := binary.BigEndian.Uint32(header[:])
-	if size > maxFrameBytes {
+	if size > maxBytes {
 		return f, file, ErrBadFrame
 	}
-	payload := make([]byte, size)
-	if _, err := io.ReadFull(l.Conn, payload); err != nil {
+	payload, err := io.ReadAll(io.LimitReader(l.Conn, int64(size)))
+	if err != nil {
 		return f, file, err
 	}
+	if len(payload) < int(size) {
+		return f, file, io.ErrUnexpectedEOF
+	}
 	if err := json.Unmarshal(payload, &f); err != nil {
 		return f, file, fmt.Errorf("%w: %w", ErrBadFrame, err)
 	}
--- a/internal/ingress/close_test.go
+++ b/internal/ingress/close_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -171,3 +172,35 @@
 	}
 	<-closed
 }
+
+// Guards against delaying a hand-over, and with it the outcomes of calls, while all slots are taken: adopting a connection
+// must not wait, and the connection is served once it has a slot.
+func TestAdoptDoesNotWaitForSlot(t *testing.T) {
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	c, addr := startTestServer(t, 1, func(Request) Answer {
+		close(entered)
+		<-proceed
+		return Answer{}
+	})
+	busy, busyReader := testkit.Dial(t, addr)
+	if _, err := io.WriteString(busy, testkit.EnqueueRequest("a", "c=notice,d=8000,dest=7", "b")); err != nil {
+		t.Fatal(err)
+	}
+	<-entered
+	near, far := testkit.TCPPair(t)
+	adopted := make(chan struct{})
+	go func() {
+		defer close(adopted)
+		c.Adopt(near, ConnHandover{LastActivityUnixNano: time.Now().UnixNano()})
+	}()
+	select {
+	case <-adopted:
+	case <-time.After(testkit.WaitTimeout):
+		t.Error("Adopt waits for a slot")
+	}
+	close(proceed)
+	if line, err := busyReader.ReadString('\n'); line != "+OK\r\n" {
+		t.Errorf("got %q, %v", line, err)
+	}
+	testkit.MustExchange(t, far, bufio.NewReader(far), testkit.EncodeRESP("PING"), "+PONG")
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -191,14 +191,14 @@
 	}
 }
 
-// Adopt serves a connection that another process of this node accepted and handed over.
+// Adopt serves a connection that another process of this node accepted and handed over. It does not wait for a slot.
 func (s *Server) Adopt(nc net.Conn, m ConnHandover) {
 	now := time.Now()
 	start := connStart{lastActivity: clampToRecent(now, m.LastActivityUnixNano), hadRequest: true, unanswered: m.Unanswered}
 	if len(m.Unanswered) > 0 {
 		start.requestStart = clampToRecent(now, m.RequestStartUnixNano)
 	}
-	s.admit(nc, start)
+	go s.admit(nc, start) // ends when the connection has a slot, or when the server closes
 }
 
 // clampToRecent converts a wall-clock time from another process to the monotonic clock. The result is at most
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -316,7 +316,9 @@
 	}
 	n.staleness = n.newStalenessGuard()
 	if n.membership = n.newFleetMembership(); n.peers != nil {
-		background.Go(func() { n.peers.receive(ownerCtx, n.log, &n.metrics.UnknownSenders, n.offer) })
+		background.Go(func() {
+			n.peers.receive(ownerCtx, n.log, n.inputScheduler.NewFlow(), &n.metrics.UnknownSenders, n.offer)
+		})
 		defer n.peers.close()
 	}
 	n.ingress.Drain(n.overrides.drained)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -12,6 +12,7 @@
 	"harrierramp/choice"
 	"harrierramp/internal/backoff"
 	"harrierramp/internal/config"
+	"harrierramp/internal/fairqueue"
 	"harrierramp/internal/membership"
 	"harrierramp/internal/staleness"
 	"harrierramp/internal/transient"
@@ -21,6 +22,7 @@
 	maxDatagramBytes      = 256 // bytes; nodes must not send longer ones to each other
 	peerBindAttempts      = 20
 	peerBindRetryInterval = 10 * time.Millisecond
+	datagramCost          = 20 * time.Microsecond // processor time to read a datagram and to act on it in the event loop
 )
 
 // peers exchanges datagrams between the nodes of a fleet. They may arrive late or not at all.
@@ -72,8 +74,9 @@
 }
 
 // receive passes datagrams of the other nodes to deliver until the socket is closed. It counts datagrams from
-// other senders in unknownSenders, and drops them.
-func (p *peers) receive(ctx context.Context, log *slog.Logger, unknownSenders *atomic.Int64, deliver func(any) bool) {
+// other senders in unknownSenders, and drops them. Each datagram takes processor time of turn; those that come faster
+// stay in the socket's buffer, or are dropped there.
+func (p *peers) receive(ctx context.Context, log *slog.Logger, turn *fairqueue.Flow, unknownSenders *atomic.Int64, deliver func(any) bool) {
 	b := make([]byte, maxDatagramBytes+1)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(b)
@@ -87,6 +90,7 @@
 			}
 			continue
 		}
+		turn.Spend(datagramCost)
 		number, ok := p.nodeNumbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		if !ok || n > maxDatagramBytes {
 			unknownSenders.Add(1)
--- a/internal/node/successors.go
+++ b/internal/node/successors.go
@@ -25,7 +25,7 @@
 		l := &handover.Link{Conn: nc}
 		if err := nc.SetReadDeadline(time.Now().Add(successorRequestTimeout)); err == nil {
 			var f handover.Frame
-			if f, _, err = l.Receive(); err == nil && f.Ask && nc.SetReadDeadline(time.Time{}) == nil {
+			if f, err = l.ReceiveRequest(); err == nil && f.Ask && nc.SetReadDeadline(time.Time{}) == nil {
 				select {
 				case n.handoverRequests <- l:
 					continue
