Yield after each step of the event loop

Seen by callers: while 120 peers submit valid requests without pause, final answers come up to 0.84 s late (beyond the 350 ms) on a quiet machine, and some of a sound client's requests are refused.

Cause: the loop takes its events in batches without ever blocking while there are more, so it keeps the P for a whole slice of the scheduler; a notice passes through five goroutines besides it, each of which waits for one, and posts time out after 200 ms. No loop_late was logged: the loop was in time, what it started was not.

Change: the loop yields after each step.

Ruled out: booking the loop's work for requests to their peers' share, which would halve what sound clients can submit.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"sync"
@@ -422,6 +423,7 @@
 			}
 		}
 		n.processBatch(ctx, batch)
+		runtime.Gosched() // a loop that always has events would keep calls and notices waiting for a whole time slice
 	}
 }
 
