Take slots first from connections that have submitted no message

Found with more peers than slots: where all slots are taken by peers that send PINGs without pause, the only connections between commands are those of sound clients, so a newcomer's slot was always taken from them.

Change: a connection that has been open for 0.5 s without submitting a message loses its slot first, also in the middle of its commands; then comes the one idle longest, as before. More kinds of strangers in the tests: requests to no destination, one request again and again, PINGs on more connections than slots, large requests to no destination.

--- a/cmd/harrierramp/strangers_test.go
+++ b/cmd/harrierramp/strangers_test.go
@@ -69,6 +69,9 @@
 		{name: "pings", count: 120, act: send(strings.Repeat("PING\r\n", 4<<10))},
 		{name: "unknown commands", count: 120, act: send(strings.Repeat(testkit.EncodeRESP("LPUSH", "list", "entry"), 4<<10))},
 		{name: "requests of no class", count: 120, act: send(strings.Repeat(testkit.EnqueueRequest("id", "c=none,d=8000,dest=1", "b"), 4<<10))},
+		{name: "requests to no destination", count: 120, act: send(strings.Repeat(testkit.EnqueueRequest("id", "c=status,d=8000,dest=99", "b"), 2<<10))},
+		{name: "one request again and again", count: 120, act: send(strings.Repeat(testkit.EnqueueRequest("m0x0", "c=status,d=8000,dest=1", "b"), 2<<10))},
+		{name: "pings on more connections than slots", count: 160, act: send(strings.Repeat("PING\r\n", 2<<10))},
 		{name: "oversized bodies", count: 60, act: send(strings.Repeat(testkit.EnqueueRequest("id", "c=status,d=8000,dest=1", strings.Repeat("x", 512<<10)), 4))},
 		{name: "operators' calls without end", count: 32, act: send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"), again: true, door: true},
 		{name: "parts of operators' calls without end", count: 32, act: send("GET /metrics HTTP/1.1\r\nX-Long: " + strings.Repeat("x", 16<<10)), again: true, door: true},
@@ -100,6 +103,7 @@
 		{name: "requests in part again and again, least memory", count: 300, act: inPart(request), limit: smallest, again: true},
 		{name: "announced bodies, least memory", count: 330, act: send(request[:len(request)-bodyBytes]), limit: smallest},
 		{name: "small arguments in part, least memory", count: 330, act: inPart(testkit.EncodeRESP(strings.Split(strings.Repeat(body[:1<<10]+" ", 8)[:8<<10], " ")...)), limit: smallest},
+		{name: "large requests to no destination, least memory", count: 100, act: send(strings.Repeat(testkit.EnqueueRequest("id", "c=status,d=8000,dest=99", body), 10)), limit: smallest},
 		{name: "answers that nobody reads", count: 330, act: send(strings.Repeat("PING\r\n", 64<<10)), limit: smallest},
 	} {
 		t.Run(s.name, func(t *testing.T) {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -58,6 +58,7 @@
 	lastActivity time.Time
 	requestStart time.Time // zero between requests
 	hadRequest   bool
+	sentMessage  bool
 	hadUsable    bool  // the last command was a request or a PING
 	unusable     int   // commands in a row that were no request
 	reserved     int64 // bytes of the server's memory budget
@@ -251,6 +252,9 @@
 		return closeWriteFailed, err
 	}
 	c.lastActivity, c.requestStart, c.hadRequest = time.Now(), time.Time{}, true
+	if !c.sentMessage && c.server.isEvicted(c.nc) {
+		return closeIdle, nil // however many commands are still to be read
+	}
 	if c.hadUsable = usable; usable {
 		c.unusable = 0
 		return keepServing, nil
@@ -273,6 +277,10 @@
 		if err != nil {
 			return Answer{ErrorText: err.Error()}.line(), false
 		}
+		if !c.sentMessage {
+			c.sentMessage = true
+			s.setSentMessage(c.nc)
+		}
 		c.turn.End()
 		defer c.turn.Begin()
 		return s.handle(q).line(), true
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -42,7 +42,8 @@
 	evictedLingerTimeout  = 20 * time.Millisecond   // lingerTimeout when a new connection waits for the slot
 	finalReadBytes        = 512                     // read without blocking when the wait for a request ends
 
-	slotRetryInterval = 50 * time.Millisecond // between evictions for one new connection
+	messageTimeout    = 500 * time.Millisecond // a connection without a message for so long is the first to lose its slot
+	slotRetryInterval = 50 * time.Millisecond  // between evictions for one new connection
 
 	acceptCost = 10 * time.Microsecond // processor time to accept a connection and to end it
 )
@@ -82,6 +83,8 @@
 	closing      bool        // our side is closed; the client may still read its last answer
 	reading      *connReader // of the request that is being read; nil otherwise
 	holdsMemory  bool        // has reserved memory for a large request
+	openedAt     time.Time
+	sentMessage  bool // has submitted a message
 }
 
 // NewServer returns a Server that accepts at most maxConns connections on ln. handle is called for each message, from
@@ -165,7 +168,7 @@
 		}()
 		return false
 	}
-	s.conns[nc] = &connState{idle: true, lastActivity: start.lastActivity, hadRequest: start.hadRequest}
+	s.conns[nc] = &connState{idle: true, lastActivity: start.lastActivity, hadRequest: start.hadRequest, openedAt: time.Now()}
 	s.wg.Go(func() {
 		defer func() { <-s.connSem }()
 		s.serveConn(nc, start)
@@ -288,20 +291,27 @@
 	return len(s.conns)
 }
 
-// evictIdle interrupts a connection that is closing already, or else the one that has been idle longest, and reports
-// whether there is one.
+// evictIdle interrupts a connection that is closing already, or else one that has been open for messageTimeout without
+// submitting a message, or else one between requests, and reports whether there is one. Of several it takes the one that
+// was active least recently.
 func (s *Server) evictIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	var victim net.Conn
 	for nc, p := range s.conns {
-		if p.closing && !p.evicted {
-			victim = nc
-			break
+		rank := p.evictionRank(now)
+		if rank == notEvictable {
+			continue
 		}
-		if p.idle && !p.evicted && (victim == nil || p.lastActivity.Before(s.conns[victim].lastActivity)) {
-			victim = nc
+		if victim != nil {
+			best := s.conns[victim]
+			bestRank := best.evictionRank(now)
+			if rank > bestRank || (rank == bestRank && !p.lastActivity.Before(best.lastActivity)) {
+				continue
+			}
 		}
+		victim = nc
 	}
 	if victim != nil {
 		s.evict(victim)
@@ -309,6 +319,30 @@
 	return victim != nil
 }
 
+// evictionRank is the order in which connections are evicted for a new one; the lowest rank comes first.
+type evictionRank int
+
+const (
+	rankClosing   evictionRank = iota
+	rankNoMessage              // submitted no message for messageTimeout
+	rankIdle
+	notEvictable
+)
+
+func (p *connState) evictionRank(now time.Time) evictionRank {
+	switch {
+	case p.evicted:
+		return notEvictable
+	case p.closing:
+		return rankClosing
+	case !p.sentMessage && now.Sub(p.openedAt) > messageTimeout:
+		return rankNoMessage
+	case p.idle:
+		return rankIdle
+	}
+	return notEvictable
+}
+
 // evictStalled interrupts up to count connections whose peer has stopped in the middle of a request for stallTimeout,
 // first the one that stopped first. If holdsMemory is set, only those count that have reserved memory.
 func (s *Server) evictStalled(count int, holdsMemory bool) {
@@ -343,6 +377,13 @@
 	return s.conns[nc].evicted
 }
 
+// setSentMessage records that a connection has submitted a message.
+func (s *Server) setSentMessage(nc net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[nc].sentMessage = true
+}
+
 // setReading records that a request is being read by way of input, or that none is if input is nil.
 func (s *Server) setReading(nc net.Conn, input *connReader) {
 	s.mu.Lock()
