Take handed-over connections for those of known clients

After an upgrade all connections counted as without a message, and would have lost their slots first.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -57,11 +57,11 @@
 	r            *bufio.Reader // reads from input
 	lastActivity time.Time
 	requestStart time.Time // zero between requests
-	hadRequest   bool
-	sentMessage  bool
-	hadUsable    bool  // the last command was a request or a PING
-	unusable     int   // commands in a row that were no request
-	reserved     int64 // bytes of the server's memory budget
+	hadRequest   bool      // has sent a command
+	sentMessage  bool      // has submitted a message, on this process or another one
+	hadUsable    bool      // the last command was a request or a PING
+	unusable     int       // commands in a row that were no request
+	reserved     int64     // bytes of the server's memory budget
 }
 
 func newClientConn(s *Server, nc net.Conn, start connStart) *clientConn {
@@ -70,7 +70,7 @@
 	r := bufio.NewReaderSize(input, readBufferBytes)
 	return &clientConn{
 		server: s, nc: nc, turn: turn, input: input, r: r,
-		lastActivity: start.lastActivity, requestStart: start.requestStart, hadRequest: start.hadRequest,
+		lastActivity: start.lastActivity, requestStart: start.requestStart, hadRequest: start.hadRequest, sentMessage: start.hadRequest,
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -168,7 +168,9 @@
 		}()
 		return false
 	}
-	s.conns[nc] = &connState{idle: true, lastActivity: start.lastActivity, hadRequest: start.hadRequest, openedAt: time.Now()}
+	s.conns[nc] = &connState{
+		idle: true, lastActivity: start.lastActivity, hadRequest: start.hadRequest, openedAt: time.Now(), sentMessage: start.hadRequest,
+	}
 	s.wg.Go(func() {
 		defer func() { <-s.connSem }()
 		s.serveConn(nc, start)
