End connections that never pause between commands at a shutdown

Cause: a connection noticed the end of the server only where nothing more was to be read, and set its deadline anew after each command, so Close waited for as long as a peer sent.

Change: once the time limits of Close have passed, a connection ends after its current command.

--- a/internal/ingress/close_test.go
+++ b/internal/ingress/close_test.go
@@ -173,6 +173,33 @@
 	<-closed
 }
 
+// Guards against a shutdown that lasts until the process is killed, because peers never pause between commands: Close
+// must end their connections once its time limits have passed.
+func TestCloseEndsConnsThatNeverPause(t *testing.T) {
+	const (
+		peers      = 60
+		closeLimit = time.Second // the process is killed so long after Close is called
+	)
+	c, addr := startTestServer(t, peers, func(Request) Answer { return Answer{} })
+	for range peers {
+		nc, br := testkit.Dial(t, addr)
+		go func() {
+			for {
+				if _, err := io.WriteString(nc, strings.Repeat("PING\r\n", 4<<10)); err != nil {
+					return
+				}
+			}
+		}()
+		go io.Copy(io.Discard, br)
+	}
+	testkit.Eventually(t, "all connections are served", func() bool { return c.ConnCount() == peers })
+	began := time.Now()
+	c.Close()
+	if took := time.Since(began); took > closeLimit {
+		t.Errorf("Close took %v, and the process has %v", took, closeLimit)
+	}
+}
+
 // Guards against delaying a hand-over, and with it the outcomes of calls, while all slots are taken: adopting a connection
 // must not wait, and the connection is served once it has a slot.
 func TestAdoptDoesNotWaitForSlot(t *testing.T) {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -111,6 +111,9 @@
 	if err := c.nc.SetDeadline(c.lastActivity.Add(idleTimeout)); err != nil {
 		return false, closeConnBroken, err
 	}
+	if c.server.isCloseExpired() {
+		return false, closeIdle, nil // even if the peer never pauses between commands
+	}
 	if c.r.Buffered() == 0 && len(c.input.prefix) == 0 && !c.server.updateState(c.nc, true, c.lastActivity) {
 		return false, c.leave(closeIdle), nil
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -379,6 +379,13 @@
 	return s.conns[nc].evicted
 }
 
+// isCloseExpired reports whether the time limits of Close have passed.
+func (s *Server) isCloseExpired() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closeExpired
+}
+
 // setSentMessage records that a connection has submitted a message.
 func (s *Server) setSentMessage(nc net.Conn) {
 	s.mu.Lock()
