--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -103,12 +103,14 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
-	mux.HandleFunc("GET /ops/stats", s.textHandler("text/plain; charset=utf-8", "stats_not_taken", func(w io.Writer) error {
+	mux.HandleFunc("GET /ops/stats", s.textHandler("text/plain; charset=utf-8", func(w io.Writer) error {
 		_, err := w.Write(n.Stats())
 		return err
-	}))
-	mux.HandleFunc("GET /metrics", s.textHandler("text/plain; version=0.0.4; charset=utf-8", "metrics_not_taken", n.WriteMetrics))
-	mux.HandleFunc("GET /ops/acts", s.textHandler("text/plain; charset=utf-8", "acts_not_taken", n.WriteAuditRecord))
+	}, func(err error) { log.Debug("stats_not_taken", "err", err) }))
+	mux.HandleFunc("GET /metrics", s.textHandler("text/plain; version=0.0.4; charset=utf-8", n.WriteMetrics,
+		func(err error) { log.Debug("metrics_not_taken", "err", err) }))
+	mux.HandleFunc("GET /ops/acts", s.textHandler("text/plain; charset=utf-8", n.WriteAuditRecord,
+		func(err error) { log.Debug("acts_not_taken", "err", err) }))
 	mux.HandleFunc("PUT /ops/log/level", func(w http.ResponseWriter, r *http.Request) {
 		if err := n.SetLogLevel(r.URL.Query().Get("level")); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -153,8 +155,8 @@
 }
 
 // textHandler returns a handler that responds with what render writes. The text is rendered in one turn, and then sent to
-// a caller who may be slow. event is logged if it can't be rendered or sent.
-func (s *Server) textHandler(contentType, event string, render func(io.Writer) error) http.HandlerFunc {
+// a caller who may be slow. logFailure is called if it can't be rendered or sent.
+func (s *Server) textHandler(contentType string, render func(io.Writer) error, logFailure func(error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		turn := s.scheduler.NewFlow()
 		turn.Begin()
@@ -163,12 +165,12 @@
 		turn.End()
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
-			s.log.Debug(event, "err", err)
+			logFailure(err)
 			return
 		}
 		w.Header().Set("Content-Type", contentType)
 		if _, err := w.Write(text.Bytes()); err != nil {
-			s.log.Debug(event, "err", err)
+			logFailure(err)
 		}
 	}
 }
