Book a connection with what it costs

Cause: a connection was booked with 10 us, but accepting it, its deadlines, its goroutine and the two closes take some ten times that, so a stream of new ones took more than input's share of the processor.

Change: 100 us.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -45,7 +45,7 @@
 	messageTimeout    = 500 * time.Millisecond // a connection without a message for so long is the first to lose its slot
 	slotRetryInterval = 50 * time.Millisecond  // between evictions for one new connection
 
-	acceptCost = 10 * time.Microsecond // processor time to accept a connection and to end it
+	acceptCost = 100 * time.Microsecond // processor time to accept a connection and to end it
 )
 
 // Server accepts and serves client connections.
--- a/internal/ingress/memory.go
+++ b/internal/ingress/memory.go
@@ -29,8 +29,8 @@
 func RequestMemory(limit int64) int64 { return max(limit/requestMemoryDivisor, minRequestMemory) }
 
 // memoryBudget bounds the memory of large requests that are being read or wait for their answer. Requests that find no
-// room wait in the order of their arrival, those of known clients before the others. While any wait, requests that have stalled are stopped, so that peers that
-// stop in the middle of a request don't keep others from theirs.
+// room wait in the order of their arrival, those of known clients before the others. While any wait, requests that have
+// stalled are stopped, so that peers that stop in the middle of a request don't keep others from theirs.
 type memoryBudget struct {
 	limit int64
 	evict func(count int) // stops up to count requests that hold memory and have stalled
