Run the tests' strangers in a process of their own

Strangers, clients and the platform's stand-in shared one process, so several hundred goroutines of strangers kept the stand-in from taking notices. They are a child process with two processors now. No bound is changed.

--- a/cmd/harrierramp/main_test.go
+++ b/cmd/harrierramp/main_test.go
@@ -30,6 +30,9 @@
 		fmt.Fprintln(os.Stderr, sysfault.Exec("/proc/self/exe", os.Args))
 		os.Exit(1)
 	}
+	if what := os.Getenv(strangersEnv); what != "" {
+		runStrangers(what) // exits
+	}
 	if os.Getenv(childEnv) != "" {
 		main() // exits
 	}
--- a/cmd/harrierramp/strangers_test.go
+++ b/cmd/harrierramp/strangers_test.go
@@ -62,8 +62,18 @@
 // messages that were accepted get their final answers in time.
 func TestStrangersDoNotDelayFinalAnswers(t *testing.T) {
 	program := buildProgram(t)
+	for _, s := range busyStrangers() {
+		t.Run(s.name, func(t *testing.T) {
+			s.limit = usualLimits
+			playStrangers(t, program, s)
+		})
+	}
+}
+
+// busyStrangers returns the kinds of peers that give the node work without end.
+func busyStrangers() []strangers {
 	const logLine = "2026-12-04T08:30:00Z web-3 nginx[711]: 10.0.3.7 GET /offres 200 0.012\n"
-	for _, s := range []strangers{
+	return []strangers{
 		{name: "lines of a log", count: 60, act: send(strings.Repeat(logLine, 512<<10/len(logLine)))},
 		{name: "empty lines", count: 120, act: send(strings.Repeat("\r\n", 160<<10))},
 		{name: "pings", count: 120, act: send(strings.Repeat("PING\r\n", 4<<10))},
@@ -77,11 +87,6 @@
 		{name: "parts of operators' calls without end", count: 32, act: send("GET /metrics HTTP/1.1\r\nX-Long: " + strings.Repeat("x", 16<<10)), again: true, door: true},
 		{name: "datagrams", datagrams: 200000},
 		{name: "new connections without end", count: 60, act: send("GET / HTTP/1.1\r\n\r\n" + strings.Repeat(logLine, 100)), again: true},
-	} {
-		t.Run(s.name, func(t *testing.T) {
-			s.limit = usualLimits
-			playStrangers(t, program, s)
-		})
 	}
 }
 
@@ -89,13 +94,23 @@
 // limit, and still accepts the large requests of its clients.
 func TestStrangersDoNotExhaustMemory(t *testing.T) {
 	program := buildProgram(t)
+	for _, s := range largeStrangers() {
+		t.Run(s.name, func(t *testing.T) {
+			s.bigBodies = true
+			playStrangers(t, program, s)
+		})
+	}
+}
+
+// largeStrangers returns the kinds of peers that make the node hold memory.
+func largeStrangers() []strangers {
 	const bodyBytes = 64 << 10
 	body := strings.Repeat("x", bodyBytes)
 	inPart := func(text string) func(net.Conn) { return send(text[:len(text)-2]) }
 	request := testkit.EnqueueRequest("id", "c=status,d=8000,dest=1", body)
 	fiveBodies := testkit.EncodeRESP(body, body, body, body, body)
 	smallest := nodeLimits{memoryMB: 32, sockets: 1024}
-	for _, s := range []strangers{
+	return []strangers{
 		{name: "arrays of five bodies in part", count: 170, act: inPart(fiveBodies), limit: nodeLimits{memoryMB: 64, sockets: 544}},
 		{name: "requests in part", count: 170, act: inPart(request), limit: nodeLimits{memoryMB: 64, sockets: 544}},
 		{name: "arrays in part, least memory", count: 330, act: inPart(fiveBodies), limit: smallest},
@@ -105,11 +120,6 @@
 		{name: "small arguments in part, least memory", count: 330, act: inPart(testkit.EncodeRESP(strings.Split(strings.Repeat(body[:1<<10]+" ", 8)[:8<<10], " ")...)), limit: smallest},
 		{name: "large requests to no destination, least memory", count: 100, act: send(strings.Repeat(testkit.EnqueueRequest("id", "c=status,d=8000,dest=99", body), 10)), limit: smallest},
 		{name: "answers that nobody reads", count: 330, act: send(strings.Repeat("PING\r\n", 64<<10)), limit: smallest},
-	} {
-		t.Run(s.name, func(t *testing.T) {
-			s.bigBodies = true
-			playStrangers(t, program, s)
-		})
 	}
 }
 
@@ -174,23 +184,13 @@
 		}
 	})
 	time.Sleep(strangerQuiet)
-	var peers sync.WaitGroup
-	var neglected atomic.Int64
-	until, at := time.Now().Add(strangerTime), n.addr
+	at := n.addr
 	if s.door {
 		at = n.door
 	}
-	for range s.count {
-		peers.Go(func() {
-			for served := true; served && time.Now().Before(until); served = s.again {
-				if !s.visit(at) {
-					neglected.Add(1)
-				}
-			}
-		})
-	}
+	neglected := s.start(t, at)
 	n.flood(s.datagrams)
-	peers.Wait()
+	left := neglected()
 	time.Sleep(strangerQuiet)
 	close(stop)
 	clients.Wait()
@@ -218,11 +218,71 @@
 	if failedCalls.Load()*20 > calls.Load() {
 		t.Errorf("%d of %d calls of operators got no answer within %v", failedCalls.Load(), calls.Load(), callTimeout)
 	}
-	if neglected.Load() > 0 {
-		t.Errorf("%d strangers got neither an answer nor a close within %v", neglected.Load(), strangerPatience)
+	if left > 0 {
+		t.Errorf("%d strangers got neither an answer nor a close within %v", left, strangerPatience)
 	}
 }
 
+// strangersEnv makes the test binary run the strangers of the kind that it names, at the address that follows a space.
+const strangersEnv = "HARRIERRAMP_TEST_STRANGERS"
+
+// start lets the strangers connect to the node, from a process of their own: in that of the platform's stand-in they would
+// delay what it takes. The returned function waits until they have left, and returns how many the node neglected.
+func (s strangers) start(t *testing.T, addr string) (neglected func() int) {
+	t.Helper()
+	if s.count == 0 {
+		return func() int { return 0 }
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), strangersEnv+"="+addr+" "+s.name, "GOMAXPROCS=2", "GORACE=atexit_sleep_ms=0")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	var out strings.Builder
+	cmd.Stdout, cmd.Stderr = &out, &out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return func() int {
+		t.Helper()
+		err := cmd.Wait()
+		count, parseErr := strconv.Atoi(strings.TrimSpace(out.String()))
+		if err != nil || parseErr != nil {
+			t.Errorf("no verdict: the strangers ended with %v: %s", err, out.String())
+		}
+		return count
+	}
+}
+
+// runStrangers is the main function of the strangers' process. It prints how many of them the node neglected.
+func runStrangers(what string) {
+	addr, name, _ := strings.Cut(what, " ")
+	for _, s := range append(busyStrangers(), largeStrangers()...) {
+		if s.name == name {
+			fmt.Println(s.visitAll(addr))
+			os.Exit(0)
+		}
+	}
+	fmt.Println("no such kind:", name)
+	os.Exit(1)
+}
+
+// visitAll runs all strangers, and returns how many the node neglected.
+func (s strangers) visitAll(addr string) int64 {
+	var peers sync.WaitGroup
+	var neglected atomic.Int64
+	until := time.Now().Add(strangerTime)
+	for range s.count {
+		peers.Go(func() {
+			for served := true; served && time.Now().Before(until); served = s.again {
+				if !s.visit(addr) {
+					neglected.Add(1)
+				}
+			}
+		})
+	}
+	peers.Wait()
+	return neglected.Load()
+}
+
 // visit connects once, and returns whether the node answered or closed within strangerPatience.
 func (s strangers) visit(addr string) bool {
 	nc, err := net.Dial("tcp", addr)
