--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -14,7 +14,7 @@
 // main runs one case: review-world2 CASE RECORD. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case
 // could not run. With TROUBLE=0 in the environment the disruption is left out.
 func main() {
-	cases := map[string]func(w *World, trouble bool){"upgrade": caseUpgrade}
+	cases := map[string]func(w *World, trouble bool){"upgrade": caseUpgrade, "copies": caseCopies}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-world2 CASE RECORD")
 		os.Exit(2)
