--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,5 @@
 cd "$(dirname "$0")/world2"
 mkdir -p ../../bin
 GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o ../../bin/review-world2 .
+cd ../world3
+GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o ../../bin/review-world3 .
