Prove whose response a connection brings before a call uses it again

The copy of the answer to one call became the outcome of the next one on that connection, whose message then counted as delivered; its own answer came later, the node closed the connection, and the endpoint gave the message up.

Cause: a connection was ready again 5 ms after an answer (settleTime). The endpoint's system holds a small write back until the one before it is acknowledged (no TCP_NODELAY). The acknowledgment goes out with the node's next request, so the copy arrived behind that request, however long the connection had rested, and was read as its answer. No rest bounds that.

Change: package connreuse. A call on a connection that was used before begins with two lines that do not complete the request's head. An endpoint can't answer them, and its system sends what it held back with their acknowledgment or before it. When TCP_INFO says that all is acknowledged, and just the bytes of the earlier answers were received, the next byte received belongs to the call, and the rest of the request is written. Else the connection is closed, with a request that can't have run, and the call uses a new one. The rest stays, for the time that an endpoint's program takes between two writes. The wait, the dial and its slot together stay within the dial timeout, as before.

Ruled out: a longer rest; asking the system alone after the answer (the copy may be released by the whole request); Expect: 100-continue, which endpoints need not know; a new connection for each call, which costs handshakes and places at the endpoint.

Not covered: what an endpoint's program writes after its system has acknowledged the next request's beginning, and a copy whose segment is lost on the way.

--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/connreuse"
 	"harrierramp/internal/nonblock"
 	"harrierramp/internal/transient"
 )
@@ -42,8 +43,8 @@
 	responseRestTimeout  = time.Second
 	localRetryTimeout    = 250 * time.Millisecond // for a local shortage of sockets, addresses or routes to pass
 	deliveredRestTimeout = 250 * time.Millisecond
-	// settleTime is how long a connection rests after an answer. What an endpoint sends straight after an answer, such as
-	// a second copy, would otherwise be taken for the answer to the next request.
+	// settleTime is how long a connection rests after an answer, so that an endpoint's program has time to write what it
+	// sends straight after it, such as a second copy. When that arrives is another matter: see connreuse.
 	settleTime = 5 * time.Millisecond
 )
 
@@ -93,11 +94,27 @@
 type conn struct {
 	net.Conn
 	addr        string
+	received    *countingReader // from the connection
 	limitReader *io.LimitedReader
 	br          *bufio.Reader
 	watchDone   chan error // receives the read error that ended the idle watch
 	release     func()     // releases the connection slot; idempotent
 	answeredAt  time.Time  // when its last answer was read; zero if it has had none
+	begunBytes  int        // of the next request, written ahead of the rest
+	begunAt     time.Time  // when they were written
+}
+
+// countingReader counts the bytes read.
+type countingReader struct {
+	src   io.Reader
+	bytes uint64
+}
+
+// Read is part of io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.src.Read(p)
+	r.bytes += uint64(n)
+	return n, err
 }
 
 // NewPool returns a pool that holds at most maxConns connections, which leaves the other descriptors of the process to
@@ -121,32 +138,22 @@
 	if c.mustNotStart(ctx) {
 		return Result{Outcome: choice.NotSent}
 	}
-	k := p.takeIdle(ctx, c.Endpoint)
-	reused := k != nil
-	if !reused {
-		if c.mustNotStart(ctx) {
-			return Result{Outcome: choice.NotSent}
-		}
-		var err error
-		if k, err = p.openConn(ctx, c.Endpoint.Addr); errors.Is(err, errNoConnCapacity) || (err != nil && p.closeCtx.Err() != nil) {
-			return Result{Outcome: choice.NotSent}
-		} else if err != nil {
-			return Result{Outcome: choice.ConnectFailed}
-		}
-	}
-	// A dial takes up to a second. Meanwhile the endpoint may have become blocked, or the latest start may have passed.
-	if c.mustNotStart(ctx) || p.closeCtx.Err() != nil {
-		p.putIdle(c.Endpoint, k)
+	k, reused, err := p.connect(ctx, c)
+	switch {
+	case errors.Is(err, errNoConnCapacity), errors.Is(err, errStartForbidden), err != nil && p.closeCtx.Err() != nil:
 		return Result{Outcome: choice.NotSent}
+	case err != nil:
+		return Result{Outcome: choice.ConnectFailed}
 	}
 	request, err := encodeRequest(c) // contains the time that is left, so encode it after the dial
-	if err != nil {
-		p.putIdle(c.Endpoint, k)
+	// A dial takes up to a second. Meanwhile the endpoint may have become blocked, or the latest start may have passed.
+	if err != nil || c.mustNotStart(ctx) || p.closeCtx.Err() != nil {
+		p.putBack(c.Endpoint, k)
 		return Result{Outcome: choice.NotSent}
 	}
 	stop := context.AfterFunc(ctx, func() { k.Close() })
-	res, reuse := k.roundTrip(ctx, request, p.requestsWritten)
-	k.answeredAt = time.Now()
+	res, reuse := k.roundTrip(ctx, request[k.begunBytes:], p.requestsWritten)
+	k.answeredAt, k.begunBytes = time.Now(), 0
 	if stop() && reuse {
 		p.putIdle(c.Endpoint, k)
 	} else {
@@ -162,16 +169,31 @@
 	return ctx.Err() != nil || c.Endpoint.blocked(now) || (!c.LatestStart.IsZero() && now.After(c.LatestStart))
 }
 
+// errStartForbidden reports that the call must not start any more.
+var errStartForbidden = errors.New("the call must not start")
+
 // errNoConnCapacity reports that no slot or descriptor was available for a new connection, or that one became available
 // too late to complete the dial.
 var errNoConnCapacity = errors.New("no capacity for a new connection")
 
-// openConn opens a new connection. Waiting for a slot and dialing together are limited to the dial timeout, because the
-// rules for repeating a call depend on the latest time at which it can start.
-func (p *Pool) openConn(ctx context.Context, addr string) (*conn, error) {
+// connect returns a connection for a call, idle or new. It takes the dial timeout at most, because the rules for
+// repeating a call depend on the latest time at which it can start.
+func (p *Pool) connect(ctx context.Context, c Call) (k *conn, reused bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
 	defer context.AfterFunc(p.closeCtx, cancel)()
+	if k := p.beginOnIdle(ctx, c); k != nil {
+		return k, true, nil
+	}
+	if c.mustNotStart(ctx) {
+		return nil, false, errStartForbidden
+	}
+	k, err = p.openConn(ctx, c.Endpoint.Addr)
+	return k, false, err
+}
+
+// openConn opens a new connection before ctx ends. It waits for a slot first.
+func (p *Pool) openConn(ctx context.Context, addr string) (*conn, error) {
 	began := time.Now()
 	if !p.acquireSlot(ctx) {
 		return nil, errNoConnCapacity
@@ -194,6 +216,45 @@
 	return errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
 
+// beginOnIdle takes an idle connection, and begins the request of a call on it to prove that nothing that is still to
+// come can be taken for its response. It returns nil if there is no connection of which that is proven.
+func (p *Pool) beginOnIdle(ctx context.Context, c Call) *conn {
+	for {
+		k := p.takeIdle(ctx, c.Endpoint)
+		if k == nil {
+			return nil
+		}
+		prefix, began := requestPrefix(c.Endpoint), time.Now()
+		err := connreuse.Begin(ctx, k.Conn, k.received.bytes, prefix)
+		switch {
+		case err == nil:
+			k.begunBytes, k.begunAt = len(prefix), began
+			return k
+		case errors.Is(err, errors.ErrUnsupported):
+			return k // nothing is written, and nothing but its rest speaks for it
+		}
+		k.Close()
+		if errors.Is(err, connreuse.ErrNotConfirmed) {
+			return nil // the others would take as long
+		}
+	}
+}
+
+// putBack keeps a connection whose call is not made. If the call's request has been begun, it closes the connection.
+func (p *Pool) putBack(e *Endpoint, k *conn) {
+	if k.begunBytes == 0 {
+		p.putIdle(e, k)
+	} else {
+		k.Close()
+	}
+}
+
+// requestPrefix returns the first lines of every request to an endpoint, which do not depend on the call.
+func requestPrefix(e *Endpoint) []byte {
+	return []byte("POST /v1/messages HTTP/1.1\r\nHost: " + e.Addr + "\r\n")
+}
+
+// encodeRequest returns the request of a call. It starts with requestPrefix.
 func encodeRequest(c Call) ([]byte, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+c.Endpoint.Addr+"/v1/messages", bytes.NewReader(c.Body))
 	if err != nil {
@@ -262,14 +323,18 @@
 }
 
 func newConn(nc net.Conn, addr string, release func()) *conn {
-	l := &io.LimitedReader{R: transient.Reader(nc)}
-	return &conn{Conn: nc, addr: addr, limitReader: l, br: bufio.NewReaderSize(l, 4096), release: release}
+	received := &countingReader{src: transient.Reader(nc)}
+	l := &io.LimitedReader{R: received}
+	return &conn{Conn: nc, addr: addr, received: received, limitReader: l, br: bufio.NewReaderSize(l, 4096), release: release}
 }
 
-// roundTrip writes the request and reads the response. It increments requestsWritten once the request is written
+// roundTrip writes the request, or what is left of it, and reads the response. It increments requestsWritten once the request is written
 // completely. reuse reports whether the connection can be used for another call.
 func (k *conn) roundTrip(ctx context.Context, request []byte, requestsWritten *atomic.Int64) (res Result, reuse bool) {
 	writeStart := time.Now()
+	if k.begunBytes > 0 {
+		writeStart = k.begunAt
+	}
 	if n, err := transient.Write(k, request); err != nil && n < len(request) {
 		return Result{Outcome: choice.ConnectFailed}, false // endpoints do not execute an incomplete request
 	}
