Use connections for notices and lists again only where that is proven safe

A copy of a 204 that the platform's system held back counted as the answer to the next post: a notice that was refused, or not read, would count as accepted, and its message is lost.

Change: notices and status reports go by connreuse.Transport, which keeps connections and proves them with the same steps as calls do. The clients for lists and watches use a connection once (no idle ones, and no change on the wire).

Ruled out: a connection for each post. A notice has 300 ms, and a new connection may fail for want of a socket.

--- a/internal/listwatch/dial.go
+++ b/internal/listwatch/dial.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"harrierramp/internal/connreuse"
 )
 
 const (
@@ -14,14 +16,22 @@
 
 // NewAgentClient is like NewClient, for an agent on the node's own machine. A dial that hangs is not waited for but
 // raced by further ones: final notices are due within 300 ms.
-func NewAgentClient(source net.Addr) *http.Client {
+func NewAgentClient(source net.Addr) *http.Client { return newClient(racingDialer(source)) }
+
+// NewAgentPostClient is like NewPostClient, for an agent on the node's own machine: see NewAgentClient.
+func NewAgentPostClient(source net.Addr) *http.Client {
+	return &http.Client{Transport: &connreuse.Transport{DialContext: racingDialer(source)}}
+}
+
+// dialFunc opens a connection, as net.Dialer.DialContext does.
+type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// racingDialer returns a function that opens connections from source by raceDials.
+func racingDialer(source net.Addr) dialFunc {
 	dialer := &net.Dialer{LocalAddr: source, Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 2, DisableCompression: true,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			return raceDials(ctx, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, network, addr) })
-		},
-	}}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return raceDials(ctx, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, network, addr) })
+	}
 }
 
 // raceDials dials, and starts another dial every dialRaceInterval while none has succeeded, up to maxRacingDials. It
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -17,6 +17,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"harrierramp/internal/connreuse"
 )
 
 const (
@@ -34,16 +36,27 @@
 	dialTimeout = serviceResponseTimeout
 )
 
+// noReuse has a transport use each connection for one request. The transport of net/http does not check that a response
+// on a connection that was used before belongs to the request.
+const noReuse = -1
+
 // NewClient returns an HTTP client for streaming requests. Its connections come from source, or from an address that
 // the system chooses if source is nil.
 func NewClient(source net.Addr) *http.Client {
-	dialer := &net.Dialer{LocalAddr: source, Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: dialer.DialContext,
-	}}
+	return newClient((&net.Dialer{LocalAddr: source, Timeout: dialTimeout}).DialContext)
+}
+
+func newClient(dial dialFunc) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: noReuse, DisableCompression: true, DialContext: dial}}
+}
+
+// NewPostClient returns an HTTP client for Post, which keeps its connections. They come from source, or from an address
+// that the system chooses if source is nil.
+func NewPostClient(source net.Addr) *http.Client {
+	return &http.Client{Transport: &connreuse.Transport{DialContext: (&net.Dialer{LocalAddr: source, Timeout: dialTimeout}).DialContext}}
 }
 
-const maxPostResponse = 64 << 10 // bytes read of the response to a Post
+const maxPostResponse = 64 << 10 // bytes read of the body of the response to a Post
 
 // ClockHeader is the response header with the list server's clock at the time of a post, in milliseconds since 1970.
 const ClockHeader = "Registry-Clock-Ms"
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -174,7 +174,7 @@
 	a.posts.Go(func() {
 		defer cancel()
 		began := time.Now()
-		clock, err := postStatus(addrCtx, n.httpClient, addr, status)
+		clock, err := postStatus(addrCtx, n.postClient, addr, status)
 		if err != nil {
 			n.log.Debug("claim_not_taken", "addr", addr, "err", err)
 		}
--- a/internal/node/listservice.go
+++ b/internal/node/listservice.go
@@ -18,7 +18,7 @@
 // passes each list to onList.
 func (n *Node) newWatcher(onList func(listwatch.List)) *listwatch.Watcher {
 	w := &listwatch.Watcher{
-		Log: n.log, Client: n.httpClient, Servers: n.discovery, Backoff: listwatch.AgentBackoff(), ResponseTimeout: listwatch.AgentResponseTimeout, OnActivity: n.metrics.RecordListActivity,
+		Log: n.log, Client: n.listClient, Servers: n.discovery, Backoff: listwatch.AgentBackoff(), ResponseTimeout: listwatch.AgentResponseTimeout, OnActivity: n.metrics.RecordListActivity,
 		OnServerChange: func() { n.metrics.ListWatchesEnded.Add(1) }, OnList: onList,
 	}
 	if n.cfg.Settings.ListOnRequest {
@@ -37,7 +37,7 @@
 // for a while a list that lacks most of the current endpoints.
 func (n *Node) newListValidator() *listwatch.Validator {
 	return listwatch.NewValidator(listwatch.Validator{
-		Log: n.log, Client: n.httpClient, Servers: n.discovery, HoldFor: min(n.cfg.Settings.DrainTimeout*3/4, listwatch.MaxHold),
+		Log: n.log, Client: n.listClient, Servers: n.discovery, HoldFor: min(n.cfg.Settings.DrainTimeout*3/4, listwatch.MaxHold),
 		Revision: n.listRevision, Unconfirmed: n.listUnconfirmed, RejectedLists: &n.metrics.OlderListsRefused, HeldLists: &n.metrics.SuspiciousListsHeld,
 	}, maps.Values(n.listMembers))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,8 @@
 	sender            *choice.Sender
 	journal           *journal.Journal
 	pool              *egress.Pool
-	httpClient        *http.Client
+	listClient        *http.Client               // for the list of endpoints
+	postClient        *http.Client               // for notices and status reports
 	Level             *slog.LevelVar             // of log; operators may change it unless it is nil
 	discovery         *listwatch.Addresses       // shared
 	peers             *peers                     // nil if the nodes exchange no datagrams
@@ -168,24 +169,25 @@
 		cfg: cfg, log: log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), clockStart: time.Now(), processStart: time.Now(),
 		metrics:        metrics.New(cfg.Names.Classes),
 		inputScheduler: fairqueue.New(int(math.Ceil(cfg.Limits.Cores))),
-		httpClient:     newListClient(cfg),
 		discovery:      listwatch.NewAddresses(cfg.DiscoveryAddrs()),
 		events:         make(chan any, eventQueueSize), notices: make(chan []outbox.Notice), handoverRequests: make(chan *handover.Link),
 		recheckList: make(chan struct{}, 1),
 		messages:    map[string]*journal.Message{}, inFlight: map[attemptID]inFlightCall{}, endpoints: map[string]*egress.Endpoint{},
 		destCooldowns: map[int]*egress.Cooldown{}, knownDests: map[int]bool{}, knownEndpoints: map[string]bool{},
 	}
+	n.listClient, n.postClient = newClients(cfg)
 	n.wallClock.startedAt = n.processStart
 	n.metrics.ListServiceEnabled, n.metrics.MembershipEnabled = cfg.Registry != nil, cfg.Membership != nil
 	return n
 }
 
-// newListClient returns the HTTP client for the list of endpoints and for notices.
-func newListClient(cfg config.Config) *http.Client {
+// newClients returns the HTTP clients for the list of endpoints, and for notices and status reports.
+func newClients(cfg config.Config) (list, post *http.Client) {
+	source := cfg.SourceAddr()
 	if cfg.Registry != nil {
-		return listwatch.NewClient(cfg.SourceAddr())
+		return listwatch.NewClient(source), listwatch.NewPostClient(source)
 	}
-	return listwatch.NewAgentClient(cfg.SourceAddr())
+	return listwatch.NewAgentClient(source), listwatch.NewAgentPostClient(source)
 }
 
 // seed parses the hexadecimal seed of the configuration. Any other text is hashed to a seed.
@@ -300,7 +302,7 @@
 		if n.cfg.Registry != nil {
 			policy = outbox.ServiceRetryPolicy()
 		}
-		outbox.Run(ownerCtx, n.log, n.httpClient, n.discovery, policy, n.notices, func(b []outbox.Notice) { n.enqueue(ownerCtx, acceptedNotices(b)) })
+		outbox.Run(ownerCtx, n.log, n.postClient, n.discovery, policy, n.notices, func(b []outbox.Notice) { n.enqueue(ownerCtx, acceptedNotices(b)) })
 	})
 	if ln, err := handover.Listen(n.cfg.StateDir); err != nil {
 		n.log.Error("handover_unavailable", "err", err)
@@ -331,7 +333,7 @@
 		n.ingress.Pause()
 		n.openMessages = 0 // the successor counts them now
 		n.publishGauges()
-		n.httpClient.CloseIdleConnections()
+		n.postClient.CloseIdleConnections()
 		return successor, n.journal.Close()
 	}
 
@@ -344,7 +346,7 @@
 	endOwnership()
 	n.calls.Wait()
 	n.pool.Close()
-	n.httpClient.CloseIdleConnections()
+	n.postClient.CloseIdleConnections()
 	return nil, n.journal.Close()
 }
 
