Refuse requests whose client has left instead of sending them on

Cause: the end of a connection is seen by a read, behind what is still unread. The node learned of it by writing an answer, and by then had taken the next request.

Change: package tcpinfo asks the kernel for the state of a connection, which holds whatever is unread. A request whose client has ended its side is refused before it is handled, and once more when the event loop takes it from its queue. A refusal is harmless, and a client that has ended its sending side only hears it. connreuse uses the package too. A kernel that does not say leaves things as they were.

Ruled out: closing such a connection without an answer, which loses the request of a client that still reads.

--- a/internal/connreuse/connreuse.go
+++ b/internal/connreuse/connreuse.go
@@ -19,12 +19,9 @@
 	"errors"
 	"fmt"
 	"net"
-	"slices"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"harrierramp/internal/tcpinfo"
 	"harrierramp/internal/transient"
 )
 
@@ -43,26 +40,19 @@
 	ErrNotConfirmed = errors.New("the peer's system did not acknowledge the beginning of the request in time")
 )
 
-// unsupportedErrnos mean that the system can't describe the connection.
-var unsupportedErrnos = []syscall.Errno{syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.ENOTSOCK, syscall.ENOSYS, syscall.EINVAL}
-
 // Begin writes prefix, the beginning of a request without the end of its head, and waits until it is proven that no
 // bytes of earlier responses are outstanding. received is how many bytes have been read from nc so far, all of which
 // belong to earlier responses. No read or write of nc may be in progress.
 //
 // If the error is errors.ErrUnsupported, the system can't describe the connection, and nothing has been written.
 func Begin(ctx context.Context, nc net.Conn, received uint64, prefix []byte) error {
-	c, err := newChecker(nc, received)
-	if err != nil {
-		return err
-	}
-	if _, err := c.acknowledged(); err != nil {
+	if _, err := acknowledged(nc, received); err != nil {
 		return err
 	}
 	if err := writeInTwoSegments(nc, prefix); err != nil {
 		return err
 	}
-	return c.awaitAcknowledged(ctx)
+	return awaitAcknowledged(ctx, nc, received)
 }
 
 // writeInTwoSegments writes the first line of prefix and the rest of it separately. Systems may delay the acknowledgment
@@ -77,31 +67,17 @@
 	return nil
 }
 
-// checker compares what a connection has received with what it should have.
-type checker struct {
-	raw      syscall.RawConn
-	received uint64
-}
-
-func newChecker(nc net.Conn, received uint64) (checker, error) {
-	s, ok := nc.(syscall.Conn)
-	if !ok {
-		return checker{}, errors.ErrUnsupported
-	}
-	raw, err := s.SyscallConn()
-	return checker{raw, received}, err
-}
-
-// awaitAcknowledged waits until all that was written is acknowledged.
-func (c checker) awaitAcknowledged(ctx context.Context) error {
+// awaitAcknowledged waits until all that was written is acknowledged. Its errors are those of acknowledged, and
+// ErrNotConfirmed.
+func awaitAcknowledged(ctx context.Context, nc net.Conn, received uint64) error {
 	ctx, cancel := context.WithTimeoutCause(ctx, maxConfirmWait, ErrNotConfirmed)
 	defer cancel()
 	for delay := firstPollDelay; ; delay = min(2*delay, maxPollDelay) {
-		acknowledged, err := c.acknowledged()
+		done, err := acknowledged(nc, received)
 		if errors.Is(err, errors.ErrUnsupported) {
 			return ErrNotConfirmed // the beginning of a request has been written
 		}
-		if acknowledged || err != nil {
+		if done || err != nil {
 			return err
 		}
 		select {
@@ -112,34 +88,19 @@
 	}
 }
 
-// acknowledged reports whether the peer's system has acknowledged all that was written. It fails if the connection has
-// received more than it should have, or has ended. Both are read at one moment.
-func (c checker) acknowledged() (bool, error) {
-	info, err := c.tcpInfo()
+// acknowledged reports whether the peer's system has acknowledged all that was written to a connection. It fails if the
+// connection has received more than received bytes, or has ended. Both are read at one moment.
+func acknowledged(nc net.Conn, received uint64) (bool, error) {
+	info, err := tcpinfo.Get(nc)
 	switch {
 	case err != nil && transient.IsLocal(err):
 		return false, nil // look again
-	case errno(err) != 0 && slices.Contains(unsupportedErrnos, errno(err)), err == nil && info.Bytes_received < c.received:
-		return false, errors.ErrUnsupported
 	case err != nil:
 		return false, err
-	case info.Bytes_received > c.received || info.State != unix.BPF_TCP_ESTABLISHED:
+	case info.Bytes_received < received: // an incomplete description
+		return false, errors.ErrUnsupported
+	case info.Bytes_received > received || !tcpinfo.Established(info):
 		return false, ErrUnsolicited
 	}
 	return info.Unacked == 0 && info.Notsent_bytes == 0, nil
 }
-
-// errno returns the error number of a failed system call, or 0.
-func errno(err error) syscall.Errno {
-	number, _ := errors.AsType[syscall.Errno](err)
-	return number
-}
-
-// tcpInfo returns the system's description of the connection.
-func (c checker) tcpInfo() (info *unix.TCPInfo, err error) {
-	controlErr := c.raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if controlErr != nil {
-		return nil, controlErr
-	}
-	return info, err
-}
--- a/internal/connreuse/connreuse_test.go
+++ b/internal/connreuse/connreuse_test.go
@@ -94,16 +94,12 @@
 	if err := near.SetWriteDeadline(time.Time{}); err != nil {
 		t.Fatal(err)
 	}
-	c, err := newChecker(near, uint64(len(response)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := c.awaitAcknowledged(t.Context()); !errors.Is(err, ErrNotConfirmed) {
+	if err := awaitAcknowledged(t.Context(), near, uint64(len(response))); !errors.Is(err, ErrNotConfirmed) {
 		t.Errorf("got %v", err)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if err := c.awaitAcknowledged(ctx); !errors.Is(err, context.Canceled) {
+	if err := awaitAcknowledged(ctx, near, uint64(len(response))); !errors.Is(err, context.Canceled) {
 		t.Errorf("got %v", err)
 	}
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -14,6 +14,7 @@
 
 	"harrierramp/internal/fairqueue"
 	"harrierramp/internal/nonblock"
+	"harrierramp/internal/tcpinfo"
 	"harrierramp/internal/transient"
 )
 
@@ -284,8 +285,12 @@
 			c.sentMessage = true
 			s.setSentMessage(c.nc)
 		}
+		q.ClientGone = func() bool { return tcpinfo.PeerGone(c.nc) }
 		c.turn.End()
 		defer c.turn.Begin()
+		if q.ClientGone() { // nobody waits for the answer any more, and the client may submit the message again
+			return Answer{Refused: true}.line(), true
+		}
 		return s.handle(q).line(), true
 	}
 	return Answer{ErrorText: "unknown command"}.line(), false
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -18,6 +18,9 @@
 	TTL         time.Duration
 	Body        []byte
 	ReceivedAt  time.Time
+	// ClientGone reports whether the client has ended the connection, or its side of it, since it sent the request. It
+	// may be nil.
+	ClientGone func() bool
 }
 
 // Answer is the reply to a request: accepted (the zero value), refused, or failed with an error text.
--- a/internal/node/duplicate_test.go
+++ b/internal/node/duplicate_test.go
@@ -9,6 +9,23 @@
 	"harrierramp/internal/ingress"
 )
 
+// newIdleNode returns a node whose loop does not run, with a draining endpoint of destination 7.
+func newIdleNode(t *testing.T) *Node {
+	t.Helper()
+	cfg, err := loadConfig(writeConfig(t, "127.0.0.1:1", "127.0.0.1:1", drainingMember()), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(cfg, slog.New(slog.DiscardHandler))
+	events, err := n.loadState(t.Context(), handover.Ownership{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.journal.Close() })
+	n.step(t.Context(), events, nil)
+	return n
+}
+
 // All submissions of a message within one step get the same answer. Once, the second was answered as accepted
 // while the first was refused, and the message was lost.
 func TestDuplicatesInOneStepGetSameAnswer(t *testing.T) {
@@ -17,18 +34,7 @@
 		refused bool
 	}{"accepted now": {10 * time.Second, false}, "past its deadline": {time.Millisecond, true}} {
 		t.Run(name, func(t *testing.T) {
-			dir := t.TempDir()
-			cfg, err := loadConfig(writeConfig(t, "127.0.0.1:1", "127.0.0.1:1", memberJSON("e", "127.0.0.1:9", 7, "DRAINING")), dir)
-			if err != nil {
-				t.Fatal(err)
-			}
-			n := New(cfg, slog.New(slog.DiscardHandler))
-			events, err := n.loadState(t.Context(), handover.Ownership{}, nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer n.journal.Close()
-			n.step(t.Context(), events, nil)
+			n := newIdleNode(t)
 			var batch []any
 			var replies []chan ingress.Answer
 			for range 3 {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -60,6 +60,9 @@
 	switch {
 	case n.messages[a.ID] != nil:
 		return ingress.Answer{}, false // accepted before: a repeated submission has no effect
+	case a.ClientGone != nil && a.ClientGone():
+		n.metrics.CountShed(a.Class)
+		return ingress.Answer{Refused: true}, false
 	case n.staleness.fenced() || n.belowFloor:
 		n.metrics.CountShed(a.Class)
 		return ingress.Answer{Refused: true, RetryAfter: fencedRetryAfter()}, false
