Do not run a message again that is submitted again after it has run

Cause: a node forgot a message with its end (Node.forget), so that the id was a new message.

Change: package dedup remembers the ids of messages that may have run and have ended, for a minute and within a bound by memory. One that is submitted again is answered +OK if it was delivered, else -ERR, and not run. The set is part of the state that is handed over (an unknown field to earlier builds).

Not covered: ids that are older than a minute, that newer ones have pushed out, or that a compaction before a restart has dropped.

--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -64,6 +64,7 @@
 		KnownDests     []int     `json:"Dests"`
 		KnownEndpoints []string  `json:"Named"`
 		InFlight       []Attempt `json:"Out"` // attempts whose calls go on in the old process
+		EndedIDs       []byte    // of messages that have ended, as dedup.Set encodes them
 	}
 	// Attempt identifies one attempt to deliver a message.
 	Attempt struct {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -55,6 +55,19 @@
 	ReceivedAt time.Time `json:"Came"` // zero after a restart, because it is not stored
 	Attempts   []Attempt `json:"Sends"`
 	Ended      *Ending
+	ranBefore  bool // an attempt may have been executed before the message got its final answer
+}
+
+// MayHaveRun reports whether an attempt of the message may have been executed.
+func (p *Message) MayHaveRun() bool {
+	return p.ranBefore || slices.ContainsFunc(p.Attempts, func(a Attempt) bool { return !a.NotExecuted })
+}
+
+// Settled is a message that has left the journal.
+type Settled struct {
+	ID         string
+	Delivered  bool // it left without a final answer of the node
+	MayHaveRun bool
 }
 
 // Attempt is a delivery attempt. One that has not failed was in progress when the journal ended, and may have been
@@ -97,6 +110,10 @@
 	// What follows the damage is lost.
 	Damage error
 
+	// FoundSettled are the messages that Open found settled in the file, in the order in which they were. A compaction
+	// drops them from the file.
+	FoundSettled []Settled
+
 	// OnAppend, if not nil, is called with the duration of each write.
 	OnAppend func(time.Duration)
 }
@@ -121,7 +138,7 @@
 func (j *Journal) RecordFailed(p *Message, n int) { j.enqueue(outcomeRecord(recFailed, p.seq, n)) }
 
 // RecordEnded records the final answer of a message, whose notice is still to be sent.
-func (j *Journal) RecordEnded(p *Message, e Ending) { j.enqueue(endedRecord(p.seq, e)) }
+func (j *Journal) RecordEnded(p *Message, e Ending) { j.enqueue(endedRecord(p.seq, e, p.MayHaveRun())) }
 
 // RecordSettled records that nothing is left to do for a message.
 func (j *Journal) RecordSettled(p *Message) { j.enqueue(record(recSettled, p.seq)) }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -54,8 +54,8 @@
 	j.enqueue(attemptRecord(a.seq, Attempt{At: now.Add(time.Second), Zone: 2}))
 	j.enqueue(outcomeRecord(recNotExecuted, a.seq, 0))
 	j.enqueue(outcomeRecord(recFailed, a.seq, 1))
-	j.enqueue(endedRecord(b.seq, Ending{RetryAfter: 500 * time.Millisecond}))
-	j.enqueue(endedRecord(c.seq, Ending{Failed: true}))
+	j.enqueue(endedRecord(b.seq, Ending{RetryAfter: 500 * time.Millisecond}, false))
+	j.enqueue(endedRecord(c.seq, Ending{Failed: true}, true))
 	j.enqueue(record(recSettled, d.seq))
 	mustFlush(t, j)
 	return j.live
--- a/internal/journal/records.go
+++ b/internal/journal/records.go
@@ -98,11 +98,15 @@
 	return binary.AppendUvarint(record(kind, seq), uint64(attempt))
 }
 
-func endedRecord(seq uint64, e Ending) []byte {
-	failed := uint64(0)
-	if e.Failed {
-		failed = 1
+func endedRecord(seq uint64, e Ending, mayHaveRun bool) []byte {
+	b := appendBool(record(recEnded, seq), e.Failed)
+	b = binary.AppendUvarint(b, uint64(e.RetryAfter/time.Millisecond))
+	return appendBool(b, mayHaveRun)
+}
+
+func appendBool(b []byte, v bool) []byte {
+	if v {
+		return binary.AppendUvarint(b, 1)
 	}
-	b := binary.AppendUvarint(record(recEnded, seq), failed)
-	return binary.AppendUvarint(b, uint64(e.RetryAfter/time.Millisecond))
+	return binary.AppendUvarint(b, 0)
 }
--- a/internal/journal/recovery.go
+++ b/internal/journal/recovery.go
@@ -45,11 +45,20 @@
 		if err != nil {
 			return err
 		}
+		j.noteSettled(payload)
 		j.apply(payload)
 		j.fileBytes += int64(recordHeaderBytes + len(payload))
 	}
 }
 
+// noteSettled adds the message of a record that settles one to FoundSettled.
+func (j *Journal) noteSettled(payload []byte) {
+	f := &payloadReader{rest: payload[1:]}
+	if p := j.live[f.uvarint()]; p != nil && payload[0] == recSettled {
+		j.FoundSettled = append(j.FoundSettled, Settled{ID: p.ID, Delivered: p.Ended == nil, MayHaveRun: p.MayHaveRun()})
+	}
+}
+
 // apply updates the live messages by one record.
 func (j *Journal) apply(payload []byte) {
 	f := &payloadReader{rest: payload[1:]}
@@ -88,9 +97,13 @@
 		}
 	case recEnded:
 		e := &Ending{Failed: f.uvarint() == 1, RetryAfter: time.Duration(f.uvarint()) * time.Millisecond}
+		ranBefore := p.MayHaveRun()
+		if len(f.rest) > 0 { // absent in journals of earlier builds, which ignore it
+			ranBefore = f.uvarint() == 1
+		}
 		if !f.malformed {
 			j.liveBytes -= p.size()
-			p.Ended, p.Body, p.Attempts = e, nil, nil // only the notice is left to send
+			p.Ended, p.ranBefore, p.Body, p.Attempts = e, ranBefore, nil, nil // only the notice is left to send
 			j.liveBytes += p.size()
 		}
 	case recSettled:
@@ -186,7 +199,7 @@
 			}
 		}
 		if p.Ended != nil {
-			put(endedRecord(p.seq, *p.Ended))
+			put(endedRecord(p.seq, *p.Ended, p.ranBefore))
 		}
 	}
 	return size, w.Flush()
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -56,6 +56,7 @@
 	for _, id := range slices.Sorted(maps.Keys(n.listMembers)) {
 		state.Members = append(state.Members, n.listMembers[id])
 	}
+	state.EndedIDs = n.ended.Encode(n.now())
 	for a := range n.inFlight {
 		state.InFlight = append(state.InFlight, handover.Attempt{MessageID: a.messageID, Number: a.attempt})
 	}
@@ -147,6 +148,7 @@
 // replayJournal returns the sender's events for all that the journal has not settled, in the order in which the
 // messages were accepted, and restores the calls that are still in flight at a predecessor.
 func (n *Node) replayJournal(ownership handover.Ownership, unreported []callResult) (events []choice.Event) {
+	n.recallEnded(ownership)
 	for _, p := range n.journal.Unsettled() {
 		n.messages[p.ID] = p
 		if p.Ended != nil {
@@ -197,6 +199,19 @@
 	return events
 }
 
+// recallEnded remembers the messages that have ended before: by what the predecessor says, and by the journal.
+func (n *Node) recallEnded(ownership handover.Ownership) {
+	if ownership.State != nil {
+		if err := n.ended.Decode(n.now(), ownership.State.EndedIDs); err != nil {
+			n.log.Warn("ended_messages_unknown", "err", err)
+		}
+	}
+	for _, m := range n.journal.FoundSettled {
+		n.rememberEnded(m)
+	}
+	n.journal.FoundSettled = nil
+}
+
 // journaledMessage returns the journal's record of a message. For a message that has ended and left the journal
 // while a call of it is still in flight, it returns an ended message without a history.
 func (n *Node) journaledMessage(id string) *journal.Message {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"harrierramp/choice"
+	"harrierramp/internal/dedup"
 	"harrierramp/internal/egress"
 	"harrierramp/internal/ingress"
 	"harrierramp/internal/journal"
@@ -57,9 +58,15 @@
 // accept adds a new message to the journal and returns true, or returns the answer to give without asking the
 // sender.
 func (n *Node) accept(a submission) (ingress.Answer, bool) {
+	outcome, _ := n.ended.Find(n.now(), a.ID)
 	switch {
 	case n.messages[a.ID] != nil:
 		return ingress.Answer{}, false // accepted before: a repeated submission has no effect
+	case outcome == dedup.Delivered:
+		return ingress.Answer{}, false
+	case outcome == dedup.MayHaveRun:
+		n.metrics.CountFailed(a.Class)
+		return ingress.Answer{ErrorText: "the message has ended"}, false
 	case a.ClientGone != nil && a.ClientGone():
 		n.metrics.CountShed(a.Class)
 		return ingress.Answer{Refused: true}, false
@@ -102,9 +109,21 @@
 		n.openMessages--
 	}
 	delete(n.messages, p.ID)
+	n.rememberEnded(journal.Settled{ID: p.ID, Delivered: p.Ended == nil, MayHaveRun: p.MayHaveRun()})
 	n.journal.RecordSettled(p)
 }
 
+// rememberEnded remembers a message that may have run, so that it is not run again if it is submitted again.
+func (n *Node) rememberEnded(m journal.Settled) {
+	switch {
+	case !m.MayHaveRun:
+	case m.Delivered:
+		n.ended.Add(n.now(), m.ID, dedup.Delivered)
+	default:
+		n.ended.Add(n.now(), m.ID, dedup.MayHaveRun)
+	}
+}
+
 // finishCall records the outcome of a call in the audit log, the metrics and the journal, and returns the
 // sender's event for it.
 func (n *Node) finishCall(e callResult) choice.Event {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"harrierramp/internal/backoff"
 	"harrierramp/internal/coldstart"
 	"harrierramp/internal/config"
+	"harrierramp/internal/dedup"
 	"harrierramp/internal/egress"
 	"harrierramp/internal/fairqueue"
 	"harrierramp/internal/handover"
@@ -97,6 +98,7 @@
 	notices           chan []outbox.Notice
 	handoverRequests  chan *handover.Link         // from processes that ask to take over the node
 	messages          map[string]*journal.Message // all messages in the journal, by ID
+	ended             *dedup.Set                  // messages that may have run and have left the journal
 	inFlight          map[attemptID]inFlightCall
 	remoteCalls       int // how many of inFlight are calls of the predecessor process
 	endpoints         map[string]*egress.Endpoint
@@ -172,7 +174,7 @@
 		discovery:      listwatch.NewAddresses(cfg.DiscoveryAddrs()),
 		events:         make(chan any, eventQueueSize), notices: make(chan []outbox.Notice), handoverRequests: make(chan *handover.Link),
 		recheckList: make(chan struct{}, 1),
-		messages:    map[string]*journal.Message{}, inFlight: map[attemptID]inFlightCall{}, endpoints: map[string]*egress.Endpoint{},
+		messages:    map[string]*journal.Message{}, ended: dedup.NewSet(dedup.Capacity(cfg.Limits.Memory.Bytes())), inFlight: map[attemptID]inFlightCall{}, endpoints: map[string]*egress.Endpoint{},
 		destCooldowns: map[int]*egress.Cooldown{}, knownDests: map[int]bool{}, knownEndpoints: map[string]bool{},
 	}
 	n.listClient, n.postClient = newClients(cfg)
