Bound what hundreds of slow or halfway clients make a list server hold

The list server shows it; a node does not.

Cause: net/http bounds a head by bytes only. A field costs some 180 bytes however short it is, so a head of 8 KiB takes some 230 KB. A body is read whole, whatever others are read beside it.

Change: package headlimit ends a connection whose head has over 64 lines; the list server and the operators' API use it. At most 32 bodies of more than 4 KiB are read at once by a list server, others are answered 503, which nodes repeat. Small posts and all other calls take no part in that.

Ruled out: fewer bytes of head. net/http adds 4 KiB to any limit, which halves the cost at best.

--- /dev/null
+++ b/cmd/harrierramp/listserver_test.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	listServerClients  = 500
+	listServerMemoryMB = 64 // as a node of middling size
+	listServerTime     = 3 * time.Second
+)
+
+// Guards against holding memory without bound at a list server while hundreds of clients write slowly, stop half way
+// through a large request, or send heads of very many short fields.
+func TestManyClientsDoNotExhaustListServer(t *testing.T) {
+	program := buildProgram(t)
+	head := "POST /reports HTTP/1.1\r\nHost: x\r\nContent-Length: 4000\r\n" + shortFields(8<<10)
+	half := "POST /reports HTTP/1.1\r\nHost: x\r\nContent-Length: 65000\r\n\r\n" + strings.Repeat("x", 60_000)
+	for name, act := range map[string]func(net.Conn){
+		"heads of short fields in part": send(head),
+		"heads of short fields":         send(head + "\r\n"),
+		"slow heads":                    sendSlowly(head),
+		"half of a body":                send(half),
+		"slow bodies":                   sendSlowly(half),
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := freeAddrs(t, 1)[0]
+			server := &childProcess{t: t, path: program, args: []string{"registry", "--state", t.TempDir(), "--listen", addr, "--bootstrap", "--settle", "0s"}}
+			server.start()
+			t.Cleanup(server.kill)
+			isServing := func() bool {
+				code, _, err := httpCall("GET", "http://"+addr+"/registry/instances", "")
+				return err == nil && code == http.StatusOK
+			}
+			eventually(t, "the list server serves", isServing)
+			stop, peakKB := make(chan struct{}), int64(0)
+			var watching sync.WaitGroup
+			watching.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(2 * time.Millisecond):
+						peakKB = max(peakKB, privateKB(server.cmd.Process.Pid))
+					}
+				}
+			})
+			unserved := visitListServer(addr, act, isServing)
+			close(stop)
+			watching.Wait()
+			t.Logf("%.1f MB at most", float64(peakKB)/1024)
+			if peakKB > listServerMemoryMB<<10 {
+				t.Errorf("the list server holds %d KB", peakKB)
+			}
+			if unserved > 0 {
+				t.Errorf("another client was not served %d times", unserved)
+			}
+		})
+	}
+}
+
+// visitListServer has the clients connect again and again, and returns how often another client was not served meanwhile.
+func visitListServer(addr string, act func(net.Conn), isServing func() bool) (unserved int) {
+	var clients sync.WaitGroup
+	until := time.Now().Add(listServerTime)
+	for range listServerClients {
+		clients.Go(func() {
+			for time.Now().Before(until) {
+				nc, err := net.Dial("tcp", addr)
+				if err != nil {
+					time.Sleep(slowPause)
+					continue
+				}
+				nc.SetDeadline(until.Add(time.Second))
+				act(nc)
+				io.Copy(io.Discard, nc) // until the server ends the connection
+				nc.Close()
+			}
+		})
+	}
+	for time.Now().Before(until) {
+		if !isServing() {
+			unserved++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	clients.Wait()
+	return unserved
+}
+
+// shortFields returns header fields of very short lines with different names, of so many bytes together.
+func shortFields(bytes int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < bytes-8; i++ {
+		fmt.Fprintf(&b, "k%x:\r\n", i)
+	}
+	return b.String()
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"harrierramp/internal/fairqueue"
+	"harrierramp/internal/headlimit"
 )
 
 const (
@@ -287,7 +288,7 @@
 		return nil, err
 	}
 	l.accepting.Spend(requestCost)
-	c := &boundedConn{Conn: nc, ln: l, openedAt: time.Now()}
+	c := &boundedConn{Conn: headlimit.NewConn(nc), ln: l, openedAt: time.Now()} // with one request
 	l.mu.Lock()
 	var victim *boundedConn
 	if len(l.conns) >= MaxConnections {
--- a/internal/cli/registry.go
+++ b/internal/cli/registry.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"harrierramp/internal/admission"
+	"harrierramp/internal/headlimit"
 	"harrierramp/internal/logging"
 	"harrierramp/internal/registry"
 
@@ -101,7 +102,7 @@
 		servers = append(servers, server)
 		log.Info("serving", "addr", ln.Addr())
 		serving.Go(func() {
-			if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(headlimit.Listener{Listener: ln}); !errors.Is(err, http.ErrServerClosed) {
 				log.Error("front_shut", "addr", ln.Addr(), "err", err)
 				stop()
 			}
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -14,12 +14,14 @@
 	"sync/atomic"
 	"time"
 
+	"harrierramp/internal/headlimit"
 	"harrierramp/internal/listwatch"
 )
 
 const (
 	maxBodyBytes         = 4 << 10
 	maxReportsBodyBytes  = 64 << 10
+	maxLargeBodies       = 32              // of more than maxBodyBytes, that are being read
 	readTimeout          = 2 * time.Second // for a whole request; a slower client must be disconnected within 3 s
 	writeTimeout         = 3 * time.Second // for one line to a watcher, or a whole response
 	commandTimeout       = 2 * time.Second
@@ -94,6 +96,7 @@
 		Handler: h, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ConnState: func(nc net.Conn, state http.ConnState) {
+			headlimit.Reset(nc, state)
 			switch state {
 			case http.StateNew:
 				s.stats.connections.Add(1)
@@ -289,7 +292,7 @@
 
 // addNotices stores notices. Followers accept them too, so that a node need not wait for the primary.
 func (s *Server) addNotices(w http.ResponseWriter, r *http.Request) {
-	raw, err := readBody(w, r, maxReportsBodyBytes)
+	raw, err := s.readReports(w, r)
 	if err != nil {
 		s.writeError(w, err)
 		return
@@ -308,6 +311,23 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// errTooManyLargeBodies refuses a large body while others are being read.
+var errTooManyLargeBodies = errors.New("too many large bodies at once")
+
+// readReports reads the body of a post of notices.
+func (s *Server) readReports(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength >= 0 && r.ContentLength <= maxBodyBytes {
+		return readBody(w, r, maxBodyBytes)
+	}
+	select {
+	case s.largeBodies <- struct{}{}:
+		defer func() { <-s.largeBodies }()
+		return readBody(w, r, maxReportsBodyBytes)
+	default:
+		return nil, errTooManyLargeBodies
+	}
+}
+
 // queryInt returns a non-negative number from the query; 0 if it is absent.
 func queryInt(r *http.Request, name string) (int64, error) {
 	text := r.URL.Query().Get(name)
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -100,6 +100,7 @@
 	stats        stats             // shared
 	peers        *peers            // shared
 	admission    *admissionControl // shared
+	largeBodies  chan struct{}     // shared: holds one element per large body that is being read
 	rollout      *rolloutTable     // shared
 	client       *http.Client
 	startedAt    time.Time
@@ -126,7 +127,7 @@
 	s := &Server{
 		cfg: cfg, log: log, store: store, catalog: NewCatalog(cfg.Options), feed: newFeed(cfg.Coalesce), notices: notices,
 		peers: newPeers(cfg), startedAt: time.Now(), commands: make(chan command, maxCommandBatch), stopped: make(chan struct{}),
-		client: listwatch.NewClient(cfg.SourceAddr), admission: newAdmissionControl(cfg.StartRate), rollout: newRolloutTable(),
+		client: listwatch.NewClient(cfg.SourceAddr), admission: newAdmissionControl(cfg.StartRate), largeBodies: make(chan struct{}, maxLargeBodies), rollout: newRolloutTable(),
 	}
 	for _, l := range lists {
 		s.catalog.Apply(0, l)
