Give each connection of a list server a tenth of its pace

The list server shows it; a node does not.

Cause: one limiter for all. Whoever asked most took most, and each refused ask for the list moved the time that the next one was told further out, without a bound (promisedUntil).

Change: admission.Quota. A connection that asks for more than a tenth of the pace (a second's worth at once) is refused before the limiter, with a wait of its own. The time that a limiter tells goes no further than all turns together.

Not covered: a client that opens connection after connection, or many at once, and one that fills the list or the table of nodes with names within its quota: the 10,000 rows are shared.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -98,6 +98,9 @@
 	admitAt := max(l.promisedUntil[p], now) + l.refillTime(requestCost[p])
 	if !reserved { // outstanding reservations hold the next tokens; wait for later ones
 		admitAt = max(admitAt, now+l.refillTime(l.minTokens(p)+requestCost[p]-l.tokens))
+		if latest := now + l.refillTime(maxReservations); admitAt > latest { // more than all clients together can have
+			admitAt = latest
+		}
 		l.promisedUntil[p] = admitAt
 	} else {
 		admitAt = now + l.refillTime(l.minTokens(p)+requestCost[p]-l.tokens)
--- a/internal/registry/admission.go
+++ b/internal/registry/admission.go
@@ -1,9 +1,11 @@
 package registry
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -33,10 +35,14 @@
 	return fmt.Sprintf("not now: come again after %v", e.retryAfter)
 }
 
-// admit admits a request or refuses it with a *deferredError. heldTurn is the turn from an earlier refusal, 0 if none.
-func (a *admissionControl) admit(now time.Duration, priority admission.Priority, heldTurn uint64) error {
+// admit admits a request or refuses it with a *deferredError. quota is the client's. heldTurn is the turn from an earlier
+// refusal, 0 if none.
+func (a *admissionControl) admit(now time.Duration, quota *admission.Quota, priority admission.Priority, heldTurn uint64) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if wait := quota.Take(now, a.limiter, priority); wait > 0 {
+		return &deferredError{retryAfter: wait}
+	}
 	ok, wait, turn := a.limiter.Admit(now, priority, heldTurn)
 	if ok {
 		return nil
@@ -44,6 +50,22 @@
 	return &deferredError{wait, turn}
 }
 
+// quotaKey is the context key of the quota of a request's connection.
+type quotaKey struct{}
+
+// withQuota adds a quota to the context of a connection's requests.
+func withQuota(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, quotaKey{}, new(admission.Quota))
+}
+
+// quotaOf returns the quota of a request's connection. The caller may use it only within admit.
+func quotaOf(r *http.Request) *admission.Quota {
+	if q, ok := r.Context().Value(quotaKey{}).(*admission.Quota); ok {
+		return q
+	}
+	return new(admission.Quota)
+}
+
 // outstanding returns the number of turns that were handed out and not used yet.
 func (a *admissionControl) outstanding() int {
 	a.mu.Lock()
@@ -66,14 +88,14 @@
 	if err != nil {
 		return err
 	}
-	return s.admission.admit(s.now(), priority, uint64(heldTurn))
+	return s.admission.admit(s.now(), quotaOf(r), priority, uint64(heldTurn))
 }
 
 // rateLimited wraps a handler of calls on one instance or node. A call that admission control refuses is answered with
 // the time to retry.
 func (s *Server) rateLimited(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if err := s.admission.admit(s.now(), admission.Renewal, 0); err != nil {
+		if err := s.admission.admit(s.now(), quotaOf(r), admission.Renewal, 0); err != nil {
 			s.writeError(w, err)
 			return
 		}
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -95,6 +95,7 @@
 	return &http.Server{
 		Handler: h, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnContext: withQuota,
 		ConnState: func(nc net.Conn, state http.ConnState) {
 			headlimit.Reset(nc, state)
 			switch state {
