Round products explicitly, so that all processors decide the same

Change: where a product may meet an addition it is converted (float64(x*y)), which the language specifies as a rounding. On x86-64 nothing changes: no operation is fused there.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -268,7 +268,7 @@
 // accepts moves the gate between its bounds and reports whether it is open. Both values are in seconds.
 func (g *gate) accepts(current, deadline float64) bool {
 	base := max(g.baseline, seconds(minResponseTime))
-	upper, lower := gateUpperRatio*base, gateLowerRatio*base
+	upper, lower := float64(gateUpperRatio*base), float64(gateLowerRatio*base)
 	if deadline > 0 {
 		upper, lower = min(upper, gateUpperDeadlineShare*deadline), min(lower, gateLowerDeadlineShare*deadline)
 	}
@@ -432,7 +432,7 @@
 		} else {
 			r.waitUntil = max(r.waitUntil, s.now+max(e.RetryAfter, backoff))
 		}
-		ep.penalizedLatency = smooth(ep.penalizedLatency, 2*max(ep.penalizedLatency, took))
+		ep.penalizedLatency = smooth(ep.penalizedLatency, float64(2*max(ep.penalizedLatency, took)))
 		// A refusal by a destination without a limit means a full queue, as when the destination hangs.
 		queueFull := r.limitReported && r.reportedLimit == 0
 		if outage := e.RetryAfter > minOutageRetryAfter; outage || queueFull || r.circuitOpen {
@@ -441,7 +441,7 @@
 			// Otherwise the refusal was most likely due to a full connection table.
 			s.cutShare(ep.dest, r)
 			if c := &ep.dest.requester; c.answeredAt < c.requestedAt {
-				c.allowanceFactor *= allowanceCutFactor
+				c.allowanceFactor = float64(c.allowanceFactor * allowanceCutFactor)
 			}
 		}
 	default:
@@ -510,7 +510,7 @@
 	if !r.circuitOpen {
 		if r.failures == 1 {
 			r.firstFailureAt = s.now
-			s.failureRate += failureRateSmoothing * (1 - s.failureRate)
+			s.failureRate += float64(failureRateSmoothing * (1 - s.failureRate))
 		}
 		minRun := float64(failuresToOpen)
 		if s.now-r.firstFailureAt >= sustainedFailureTime || (!r.fleetWide && d.arrivalRate(s.now)*seconds(sustainedFailureTime) < rareCallCount) {
@@ -555,7 +555,7 @@
 // recordSuccess counts a delivered call. It ends an outage, continues a recovery, or lets the share of the limit grow.
 func (s *Sender) recordSuccess(r *route) {
 	if !r.circuitOpen && r.failures == 0 {
-		s.failureRate *= 1 - failureRateSmoothing
+		s.failureRate = float64(s.failureRate * (1 - failureRateSmoothing))
 	}
 	r.refusalBackoff, r.failures = 0, 0
 	if gap := seconds(s.now - r.windowStartedAt); gap > 1 {
@@ -571,7 +571,7 @@
 		// Few refusals: a coordinator that took over may soon use the whole limit.
 		growth = takeoverGrowthPerSecond
 	}
-	r.limitShare = min(1, r.limitShare+growth*max(r.limitShare, s.evenShare(r))*min(maxSpan, seconds(s.now-r.limitShareUpdatedAt)))
+	r.limitShare = min(1, r.limitShare+float64(growth*max(r.limitShare, s.evenShare(r))*min(maxSpan, seconds(s.now-r.limitShareUpdatedAt))))
 	r.limitShareUpdatedAt = s.now
 	switch {
 	case r.circuitOpen:
@@ -603,25 +603,25 @@
 	if r.recovering() && s.cfg.OverloadDuration > 0 && s.cfg.OverloadMultiple > 0 {
 		capacityShare := s.cfg.ColdCapacity
 		if r.recoveryStartedAt > 0 && s.cfg.WarmUpTime > 0 {
-			capacityShare += (1 - capacityShare) * min(1, seconds(s.now-r.recoveryStartedAt)/seconds(s.cfg.WarmUpTime))
+			capacityShare += float64((1 - capacityShare) * min(1, seconds(s.now-r.recoveryStartedAt)/seconds(s.cfg.WarmUpTime)))
 		}
-		evenRate := s.capacity(r) * s.evenShare(r)
+		evenRate := float64(s.capacity(r) * s.evenShare(r))
 		ownDemand := r.demandSinceOutage / max(seconds(s.now-r.outageStartedAt), seconds(s.cfg.OverloadDuration))
 		budget := max(evenColdShare*evenRate, demandColdShare*min(ownDemand, s.capacity(r)))
-		rate = s.cfg.OverloadMultiple * capacityShare * budget
+		rate = float64(s.cfg.OverloadMultiple * capacityShare * budget)
 		if r.fleetWide {
-			rate = min(rate*s.coldBudgetShare(r), r.limitShare*s.capacity(r)) * s.reachableShare()
+			rate = float64(min(rate*s.coldBudgetShare(r), r.limitShare*s.capacity(r)) * s.reachableShare())
 		}
 		return rate, true
 	}
 	limit := s.limit(r)
 	if r.fleetWide {
-		limit *= s.reachableShare()
+		limit = float64(limit * s.reachableShare())
 	}
 	if limit == 0 && r.fleetWide && s.cfg.ColdStart {
 		limit = max(slowStartRate, slowStartFactor*r.bestRate(s.now))
 	}
-	return r.limitShare * limit, limit > 0
+	return float64(r.limitShare * limit), limit > 0
 }
 
 // refill brings the token bucket of a route up to date. During a recovery it saves no tokens for a burst.
@@ -638,7 +638,7 @@
 			maxTokens = max(1, fleetRecoveryBurstSeconds*rate) // one call per wake would be too few for a whole fleet
 		}
 	}
-	r.tokens = min(r.tokens+rate*seconds(s.now-r.refilledAt), maxTokens)
+	r.tokens = min(r.tokens+float64(rate*seconds(s.now-r.refilledAt)), maxTokens)
 	r.refilledAt = s.now
 }
 
@@ -679,7 +679,7 @@
 				slowCalls++
 			}
 			slowThreshold := max(slowCallFactor*c.endpoint.smoothedLatency, seconds(minSlowCallTime))
-			slowThreshold *= math.Pow(timeoutFailureFactor, float64(c.endpoint.route.failures))
+			slowThreshold = float64(slowThreshold * math.Pow(timeoutFailureFactor, float64(c.endpoint.route.failures)))
 			overdue := seconds(s.now-c.sentAt) / slowThreshold
 			if (c.repeatable && overdue > 1) || (!c.repeatable && slow && victim == nil) {
 				if victim == nil || (c.repeatable && (!victim.repeatable || overdue > mostOverdue)) {
@@ -792,7 +792,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	x := s.rng.Float64() * total
+	x := float64(s.rng.Float64() * total)
 	for i, e := range candidates {
 		if x -= odds[i]; x < 0 {
 			return e
@@ -902,7 +902,7 @@
 		return last
 	}
 	aim := seconds(m.aim)
-	t := max(timeoutLatencyFactor*e.smoothedLatency, minTimeoutAims*aim) * math.Pow(timeoutFailureFactor, float64(e.route.failures))
+	t := float64(max(timeoutLatencyFactor*e.smoothedLatency, minTimeoutAims*aim) * math.Pow(timeoutFailureFactor, float64(e.route.failures)))
 	if e.smoothedLatency == 0 {
 		t = aim
 	}
--- a/choice/datagram.go
+++ b/choice/datagram.go
@@ -191,11 +191,11 @@
 			// fraction of a call per second, so its bucket starts at a random level. Then all nodes together make the
 			// calls that they may make from the first moment on, and do not make them all at once.
 			c.unansweredSince, c.allowanceRefilledAt = s.now, s.now+coordinatorSilenceTimeout
-			c.grantedShare = min(1, (c.grantRate(s.now)*seconds(demandDecayTime)+0.5)/(d.arrivalRate(s.now)*seconds(demandDecayTime)+1.0))
+			c.grantedShare = min(1, (float64(c.grantRate(s.now)*seconds(demandDecayTime))+0.5)/(float64(d.arrivalRate(s.now)*seconds(demandDecayTime))+1.0))
 			if s.uncoordinatedSince(c) > 0 {
 				c.grantedShare = 0 // nothing was ever granted, and the destination may be cold
 			}
-			c.allowanceTokens = s.rng.Float64() + c.grantedShare*float64(len(d.waiting))
+			c.allowanceTokens = s.rng.Float64() + float64(c.grantedShare*float64(len(d.waiting)))
 		}
 		c.requestedAt = s.now
 	}
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -88,7 +88,7 @@
 		share = takeoverShare
 	}
 	for rank := 0; rank < coordinatorRanks && s.coordinator(d, rank) != s.cfg.Number; rank++ {
-		share *= takeoverShare
+		share = float64(share * takeoverShare)
 	}
 	return share
 }
@@ -175,13 +175,13 @@
 	}
 	grantWeight := math.Exp(-seconds(s.now-c.answeredAt) / seconds(allowanceDecayTime))
 	if perSecond > 0 {
-		perArrival, perSecond = c.allowanceFactor*grantWeight*c.grantedShare, perSecond*c.allowanceFactor*(1-grantWeight)
+		perArrival, perSecond = float64(c.allowanceFactor*grantWeight*c.grantedShare), float64(perSecond*c.allowanceFactor*(1-grantWeight))
 	} else { // no limit is known: only refusals limit the rate
-		perArrival, perSecond = c.allowanceFactor, c.allowanceFactor*d.arrivalRate(s.now)
+		perArrival, perSecond = c.allowanceFactor, float64(c.allowanceFactor*d.arrivalRate(s.now))
 	}
 	if coldSince := max(c.lastFailureAt, s.uncoordinatedSince(c)); coldSince > 0 && s.now-coldSince < s.cfg.WarmUpTime {
 		// The destination may have come back from an outage, and be cold.
-		perArrival, perSecond = perArrival*s.cfg.ColdCapacity, perSecond*s.cfg.ColdCapacity
+		perArrival, perSecond = float64(perArrival*s.cfg.ColdCapacity), float64(perSecond*s.cfg.ColdCapacity)
 	}
 	return perArrival, perSecond
 }
@@ -197,8 +197,8 @@
 	}
 	elapsed := seconds(max(s.now-c.allowanceRefilledAt, 0))
 	_, perSecond := s.allowance(e.dest)
-	c.allowanceFactor = min(1, c.allowanceFactor+allowanceGrowthPerSecond*elapsed*max(c.allowanceFactor, 1/float64(s.cfg.FleetSize)))
-	c.allowanceTokens = min(c.allowanceTokens+perSecond*elapsed, max(c.allowanceTokens, 1))
+	c.allowanceFactor = min(1, c.allowanceFactor+float64(allowanceGrowthPerSecond*elapsed*max(c.allowanceFactor, 1/float64(s.cfg.FleetSize))))
+	c.allowanceTokens = min(c.allowanceTokens+float64(perSecond*elapsed), max(c.allowanceTokens, 1))
 	c.allowanceRefilledAt = max(c.allowanceRefilledAt, s.now)
 	return c.allowanceTokens >= 1
 }
@@ -245,7 +245,7 @@
 		}
 		c.answeredAt, c.missedRequests = s.now, 0
 		if dg.count > 0 && c.isNewGrant(dg.seq) {
-			c.recentGrants, c.recentGrantsUpdatedAt = c.grantRate(s.now)*seconds(demandDecayTime)+1, s.now
+			c.recentGrants, c.recentGrantsUpdatedAt = float64(c.grantRate(s.now)*seconds(demandDecayTime))+1, s.now
 			c.grants = append(c.grants, grant{dg.route, s.now + grantTTL})
 			c.pendingCalls = max(c.pendingCalls-1, 0)
 		}
@@ -349,7 +349,7 @@
 	if r.lastCutAt == 0 || r.limitReported || (!r.fleetWide && s.sharesLimits()) {
 		return 0
 	}
-	return r.bestRate(s.now) * (1 + estimateGrowthPerSecond*seconds(s.now-r.lastCutAt))
+	return float64(r.bestRate(s.now) * (1 + float64(estimateGrowthPerSecond*seconds(s.now-r.lastCutAt))))
 }
 
 // startCold treats a route with a known limit as cold if this node remembers nothing of it: destinations may be
@@ -357,7 +357,7 @@
 func (s *Sender) startCold(e *endpoint, f *route) {
 	if s.cfg.ColdStart && s.limit(f) > 0 && s.now-e.dest.requester.firstSeenAt < s.cfg.WarmUpTime {
 		s.startRecovery(f)
-		f.limitShare *= takeoverShare // coordinators of other ranks that are not heard may begin as well
+		f.limitShare = float64(f.limitShare * takeoverShare) // coordinators of other ranks that are not heard may begin as well
 	}
 }
 
@@ -386,7 +386,7 @@
 	r := e.route
 	if remembered.LimitShare > 0 && s.sharesLimits() && s.coordinator(e.dest, 0) == s.cfg.Number {
 		r = s.fleetRoute(e)
-		r.limitShare, r.limitShareUpdatedAt = 1-trust*(1-min(remembered.LimitShare, 1)), s.now
+		r.limitShare, r.limitShareUpdatedAt = 1-float64(trust*(1-min(remembered.LimitShare, 1))), s.now
 	}
 	coldFor, warmUp := remembered.ColdFor+age, s.cfg.WarmUpTime
 	if (remembered.CircuitOpen && age < warmUp || remembered.ColdFor > 0 && coldFor < warmUp) && !r.recovering() {
@@ -416,10 +416,10 @@
 	case o == Cancelled:
 	case o == Success:
 		s.recordSuccess(f)
-		f.refusedShare *= 1 - fleetRefusalSmoothing
+		f.refusedShare = float64(f.refusedShare * (1 - fleetRefusalSmoothing))
 		f.lastSuccessAt = s.now
 	case o == Rejected && !outage && !f.circuitOpen:
-		f.refusedShare += fleetRefusalSmoothing * (1 - f.refusedShare)
+		f.refusedShare += float64(fleetRefusalSmoothing * (1 - f.refusedShare))
 		if f.refusedShare > fleetRefusalThreshold && s.now-f.lastCutAt >= fleetCutInterval {
 			f.lastCutAt, f.limitShareUpdatedAt = s.now, s.now
 			f.limitShare = max(minFleetShare, f.limitShare*fleetShareCutFactor)
--- a/choice/measures.go
+++ b/choice/measures.go
@@ -50,7 +50,7 @@
 		return true
 	}
 	t, rate := &s.tenants[i], s.cfg.Tenants[i].PerSecond/float64(s.cfg.FleetSize)
-	t.tokens = min(t.tokens+rate*seconds(s.now-t.refilledAt), 2*rate+1)
+	t.tokens = min(t.tokens+float64(rate*seconds(s.now-t.refilledAt)), float64(2*rate)+1)
 	t.refilledAt = s.now
 	if t.tokens < 1 {
 		return false
@@ -67,7 +67,7 @@
 	}
 	gap := seconds(now - g.sampledAt)
 	w := max(smoothingFactor, 1-math.Exp(-gap/seconds(gateSmoothingTime)))
-	g.average += w * (sec - g.average)
+	g.average += float64(w * (sec - g.average))
 	g.baseline = min(g.baseline*math.Exp(gap/seconds(baselineRiseTime)), g.average)
 	g.sampledAt = now
 }
@@ -84,10 +84,10 @@
 	switch {
 	case e.Outcome != Success && (e.Outcome != Rejected || e.RetryAfter > 0):
 	case e.ReusedConn:
-		t.ReusedRefused += connTableSmoothing * (refused - t.ReusedRefused)
+		t.ReusedRefused += float64(connTableSmoothing * (refused - t.ReusedRefused))
 		t.ReusedSeen = true
 	default:
-		t.NewRefused += connTableSmoothing * (refused - t.NewRefused)
+		t.NewRefused += float64(connTableSmoothing * (refused - t.NewRefused))
 	}
 	if s.connTables[kind] = t; !t.ReusedSeen {
 		return 0
@@ -158,9 +158,9 @@
 	case age <= m.aim || m.aim <= 0:
 		return m.worth
 	case s.cfg.WorthHalves:
-		return m.worth * max(lateWorth, math.Exp2(-float64(age-m.aim)/float64(m.aim)))
+		return float64(m.worth * max(lateWorth, math.Exp2(-float64(age-m.aim)/float64(m.aim))))
 	}
-	return m.worth * (1 - (1-lateWorth)*float64(age-m.aim)/float64(max(m.class.Deadline-m.aim, 1)))
+	return float64(m.worth * (1 - (1-lateWorth)*float64(age-m.aim)/float64(max(m.class.Deadline-m.aim, 1))))
 }
 
 // attemptsExhausted reports whether the message has used all the attempts that the settings allow.
@@ -207,7 +207,7 @@
 // nodes that hear no coordinator and use their allowance.
 func (s *Sender) coldBudgetShare(r *route) float64 {
 	if s.cfg.ColdStart {
-		return 0.75 * r.limitShare
+		return float64(0.75 * r.limitShare)
 	}
 	return r.initialShare
 }
--- a/choice/memory.go
+++ b/choice/memory.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		if !d.gate.sampled && dest.Average > 0 && dest.Baseline > 0 {
-			d.gate = gate{average: dest.Baseline + trust*max(dest.Average-dest.Baseline, 0), baseline: dest.Baseline, sampledAt: s.now, sampled: true}
+			d.gate = gate{average: dest.Baseline + float64(trust*max(dest.Average-dest.Baseline, 0)), baseline: dest.Baseline, sampledAt: s.now, sampled: true}
 		}
 		for _, remembered := range dest.Routes {
 			ep := s.endpoints[remembered.Endpoint]
@@ -86,7 +86,7 @@
 				continue
 			}
 			if ep.smoothedLatency == 0 && remembered.SmoothedLatency > 0 {
-				ep.smoothedLatency, ep.penalizedLatency = remembered.SmoothedLatency, remembered.SmoothedLatency+trust*max(remembered.PenalizedLatency-remembered.SmoothedLatency, 0)
+				ep.smoothedLatency, ep.penalizedLatency = remembered.SmoothedLatency, remembered.SmoothedLatency+float64(trust*max(remembered.PenalizedLatency-remembered.SmoothedLatency, 0))
 			}
 			s.restoreRoute(ep, remembered, e.Age, trust)
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -398,7 +398,7 @@
 // decaySlotUse brings the recently used slot time of the destination up to date.
 func (d *destination) decaySlotUse(now time.Duration) {
 	fade := math.Exp(-seconds(now-d.slotUseUpdatedAt) / seconds(slotUseDecayTime))
-	d.slotUse = d.slotUse*fade + float64(len(d.calls))*seconds(slotUseDecayTime)*(1-fade)
+	d.slotUse = float64(d.slotUse*fade) + float64(float64(len(d.calls))*seconds(slotUseDecayTime)*(1-fade))
 	d.slotUseUpdatedAt = now
 }
 
@@ -431,7 +431,7 @@
 	if old == 0 {
 		return sample
 	}
-	return old + smoothingFactor*(min(sample, 20*old)-old)
+	return old + float64(smoothingFactor*(min(sample, 20*old)-old))
 }
 
 // coordinator is the node of the given rank that may coordinate the destination's limit. All nodes that see the same
@@ -522,7 +522,7 @@
 // registerMessage creates the state of a new message and counts it as demand for its destination.
 func (s *Sender) registerMessage(e MessageArrived) (*message, *destination) {
 	d := s.destination(e.Dest)
-	d.recentArrivals, d.recentArrivalsUpdatedAt = d.arrivalRate(s.now)*seconds(demandDecayTime)+1, s.now
+	d.recentArrivals, d.recentArrivalsUpdatedAt = float64(d.arrivalRate(s.now)*seconds(demandDecayTime))+1, s.now
 	// An unknown class is possible after a restart with other settings. Its messages must not be repeated.
 	class := &Class{Effect: AtMostOnce}
 	if e.Class >= 0 && e.Class < len(s.cfg.Classes) {
@@ -532,9 +532,9 @@
 		id: e.ID, class: class, dest: d, arrivedAt: s.now, deadline: e.Deadline, worth: class.Worth,
 		handedInAt: e.Deadline - class.Deadline,
 	}
-	m.aim = min(class.Aim+duration(class.AimStretch*seconds(e.Hint)), max(class.Deadline, class.Aim))
+	m.aim = min(class.Aim+duration(float64(class.AimStretch*seconds(e.Hint))), max(class.Deadline, class.Aim))
 	if !s.withinQuota(e.Tenant) {
-		m.worth *= s.cfg.OverQuotaWorth
+		m.worth = float64(m.worth * s.cfg.OverQuotaWorth)
 	}
 	s.messages[m.id] = m
 	if s.sharesLimits() && (d.requester.uncoordinated || d.requester.answeredAt < d.requester.requestedAt) {
