Stop saying ready before a successor has the state

Cause: the predecessor said so until its loop had ended, a moment after it had sent its state; the successor may be ready by then.

Change: the predecessor is not ready from just before it sends the state, and is again if that fails. Commands of operators are taken as before.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -16,7 +16,7 @@
 // NotReadyReason returns why this process does not accept messages. It is empty if the process owns the node,
 // serves, has a list and is not fenced.
 func (n *Node) NotReadyReason() string {
-	if !n.serving.Load() {
+	if !n.serving.Load() || n.handingOver.Load() {
 		return admin.ErrNotServing.Error()
 	}
 	return n.unavailableReason()
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -32,9 +32,11 @@
 		state, err = n.exportState()
 	}
 	if err == nil {
+		n.handingOver.Store(true) // before the successor can say that it is ready
 		err = l.Send(handover.Frame{State: state}, int(n.ownershipLock.Fd()))
 	}
 	if err != nil {
+		n.handingOver.Store(false)
 		n.log.Error("handover_failed", "err", errors.Join(err, l.Close()))
 		return false
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,7 @@
 	metrics           *metrics.Set         // shared
 	inputScheduler    *fairqueue.Scheduler // shared: of the processor time for what peers send
 	serving           atomic.Bool          // shared: the event loop runs
+	handingOver       atomic.Bool          // shared: a successor has been sent the state and may be ready
 	handedOver        atomic.Bool          // shared: a successor owns the node
 	clockStart        time.Time
 	events            chan any
@@ -328,6 +329,7 @@
 	}
 	n.ingress.Drain(n.overrides.drained)
 	n.ingress.Resume()
+	n.handingOver.Store(false)
 	n.serving.Store(true)
 	successor = n.loop(processCtx, exitDue)
 	n.serving.Store(false)
