Wait for the nodes' reports before a test requires their revision

A fault of the test, by reading: a requirement that a node has not reported is refused, rightly, and a report may come up to a second after the node acts on a revision; the test waited until three nodes had reported, whatever they had reported.

--- a/internal/lab/stage/audit_test.go
+++ b/internal/lab/stage/audit_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	"harrierramp/internal/cli"
 	"harrierramp/internal/lab/process"
 	"harrierramp/internal/lab/relay"
+	"harrierramp/internal/rollout"
 	"harrierramp/internal/testkit"
 )
 
@@ -167,8 +169,14 @@
 		})
 	}
 	awaitFenced(0)
-	head := strconv.FormatInt(st.RolloutStatus().Head, 10)
-	fleet(0, "require", "--revision", head)
+	// A node reports a revision up to a second after it acts on it, and a requirement that it has not reported is refused.
+	var head int64
+	testkit.Eventually(t, "all nodes have reported the head", func() bool {
+		status := st.RolloutStatus()
+		head = status.Head
+		return head > 0 && !slices.ContainsFunc(status.Nodes, func(n rollout.NodeStatus) bool { return n.Revision < head })
+	})
+	fleet(0, "require", "--revision", strconv.FormatInt(head, 10))
 	if output := fleet(1, "require", "--build", "another"); !strings.Contains(output, "3 of 3 nodes do not reach it now: node-0 node-1 node-2") {
 		t.Errorf("%q", output)
 	}
