Let faults of tests strike whatever the machine's load is

The first one's fault lasted until 0.7 s after the process was started, which may take longer to make its first call; the second one's began when the test woke 0.1 s before a notice was due, and a test that wakes later finds the notice sent.

Change: a start's fault lasts 0.7 s from the first call that it affects. A notice's fault begins once the endpoint has the message's call, since only the notice needs a connection from then on, and ends as before. Both last longer than before; all checks are unchanged.

--- a/cmd/harrierramp/faultledger_test.go
+++ b/cmd/harrierramp/faultledger_test.go
@@ -46,6 +46,13 @@
 
 func (l *faultLedger) now() time.Duration { return time.Since(l.startedAt) }
 
+// count returns how often something was recorded.
+func (l *faultLedger) count(what string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts[what]
+}
+
 // recordViolation records the violation of a rule.
 func (l *faultLedger) recordViolation(rule, format string, args ...any) {
 	l.mu.Lock()
--- a/cmd/harrierramp/faultnode_test.go
+++ b/cmd/harrierramp/faultnode_test.go
@@ -214,6 +214,12 @@
 // restart ends the process and starts it again on the same state directory. If graceful is set, it sends SIGTERM first
 // and kills the process after shutdownTimeout.
 func (n *faultyNode) restart(graceful bool) {
+	n.stop(graceful)
+	n.start()
+}
+
+// stop ends the process, and returns when the platform starts the next one.
+func (n *faultyNode) stop(graceful bool) {
 	n.ledger.recordDown()
 	if graceful {
 		n.signal(syscall.SIGTERM)
@@ -221,7 +227,6 @@
 	}
 	n.kill()
 	time.Sleep(restartDelay)
-	n.start()
 }
 
 // fakePlatform is a stand-in for the discovery service. It serves a fixed list and accepts reports of final answers.
@@ -345,6 +350,7 @@
 type injectedFault struct {
 	name        string
 	from, to    time.Duration
+	span        time.Duration // from the first call that it affects, instead of to; 0 if to is known
 	decide      func(sysfault.Call, *rand.Rand) sysfault.Verdict
 	struckCalls int // number of calls that the fault has affected
 }
@@ -368,6 +374,15 @@
 	return f
 }
 
+// addFaultFromFirstCall adds a fault that starts now and lasts for span from the first call that it affects.
+func (s *faultSchedule) addFaultFromFirstCall(span time.Duration, decide func(sysfault.Call, *rand.Rand) sysfault.Verdict) *injectedFault {
+	f := s.addFault(time.Hour, decide)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.span = span
+	return f
+}
+
 // endFault ends a fault now.
 func (s *faultSchedule) endFault(f *injectedFault) {
 	s.mu.Lock()
@@ -395,7 +410,9 @@
 			continue
 		}
 		if v := f.decide(c, s.rng); v != (sysfault.Verdict{}) {
-			f.struckCalls++
+			if f.struckCalls++; f.struckCalls == 1 && f.span > 0 {
+				f.to = at + f.span
+			}
 			return v
 		}
 	}
--- a/cmd/harrierramp/faults_test.go
+++ b/cmd/harrierramp/faults_test.go
@@ -153,8 +153,9 @@
 			}
 			p.schedule.setKillNextWrite(true) // leaves a journal that ends inside a record
 			p.node.submitIgnoringAnswer(testkit.EnqueueRequest("torn", "c=status,d=4000,dest=1", "body"))
-			f := p.schedule.addFault(restartDelay+700*time.Millisecond, decide)
-			p.node.restart(false)
+			p.node.stop(false)
+			f := p.schedule.addFaultFromFirstCall(700*time.Millisecond, decide)
+			p.node.start()
 			time.Sleep(4 * time.Second)
 			p.requireNoViolations(t)
 			p.requireStruck(t, f, 1)
@@ -188,12 +189,12 @@
 				t.Fatal(got)
 			}
 			due := time.Now().Add(life)
-			time.Sleep(time.Until(due.Add(-100 * time.Millisecond)))
-			if c.decide != nil {
-				f := p.schedule.addFault(100*time.Millisecond+c.until, c.decide)
+			testkit.Eventually(t, "the endpoint has the call", func() bool { return p.ledger.count("calls") > 0 })
+			if c.decide != nil { // from here on, only the notice needs a connection
+				f := p.schedule.addFault(time.Until(due)+c.until, c.decide)
 				defer p.requireStruck(t, f, 1)
 			}
-			time.Sleep(time.Second)
+			time.Sleep(time.Until(due.Add(time.Second)))
 			p.requireNoViolations(t)
 		})
 	}
