Free the slots of calls that ended while an upgrade was taken back

Cause: a call that was out at the hand-over ends in the first process, which passes the outcome on and forgets it (Node.relay). When the second process has gone, the first one's sender was told only the outcomes that could not be passed on. For it the others stayed out for ever, and with them their slots.

Change: all outcomes since the hand-over are told to the sender when the process serves again.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -66,9 +66,9 @@
 }
 
 // loadState loads the node's state into this process: from the journal, from what a predecessor has handed
-// over, and from what this process still knows if it owned the node before. unreported are the outcomes of
-// calls that ended since then. It returns the first events for the sender.
-func (n *Node) loadState(ctx context.Context, ownership handover.Ownership, unreported []callResult) ([]choice.Event, error) {
+// over, and from what this process still knows if it owned the node before. outcomes are those of calls that
+// ended since then. It returns the first events for the sender.
+func (n *Node) loadState(ctx context.Context, ownership handover.Ownership, outcomes []callResult) ([]choice.Event, error) {
 	err := n.retryStartup(ctx, func() (err error) {
 		n.journal, err = journal.Open(n.cfg.StateDir, journalMB(n.cfg))
 		return err
@@ -134,7 +134,7 @@
 			}
 		}
 	}
-	return append(events, n.replayJournal(ownership, unreported)...), nil
+	return append(events, n.replayJournal(ownership, outcomes)...), nil
 }
 
 // startupRetryTimeout is how long a start retries operations on the state folder and the peer socket. The
@@ -149,7 +149,7 @@
 
 // replayJournal returns the sender's events for all that the journal has not settled, in the order in which the
 // messages were accepted, and restores the calls that are still in flight at a predecessor.
-func (n *Node) replayJournal(ownership handover.Ownership, unreported []callResult) (events []choice.Event) {
+func (n *Node) replayJournal(ownership handover.Ownership, outcomes []callResult) (events []choice.Event) {
 	n.recallEnded(ownership)
 	for _, p := range n.journal.Unsettled() {
 		n.messages[p.ID] = p
@@ -159,7 +159,7 @@
 			n.openMessages++
 		}
 	}
-	for _, e := range unreported {
+	for _, e := range outcomes {
 		n.inFlight[e.attemptID] = inFlightCall{message: n.journaledMessage(e.messageID), endpoint: e.endpoint}
 		events = append(events, n.finishCall(e))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,7 +244,7 @@
 	defer background.Wait()
 	defer cancel()
 
-	var unreported []callResult
+	var outcomes []callResult
 	for request := true; ; request = false {
 		var ownership handover.Ownership
 		err := n.retryStartup(ctx, func() (err error) {
@@ -257,7 +257,7 @@
 		if err != nil {
 			return err
 		}
-		successor, err := n.serveAsOwner(processCtx, ownership, unreported, exitDue)
+		successor, err := n.serveAsOwner(processCtx, ownership, outcomes, exitDue)
 		if err != nil || successor == nil {
 			return err
 		}
@@ -265,7 +265,7 @@
 		n.ingress.HandOver(func(nc net.Conn, m ingress.ConnHandover) error { return moveClient(successor, nc, m) })
 		n.handedOver.Store(true)
 		var stopped bool
-		unreported, stopped = n.relay(ctx, successor, exitDue)
+		outcomes, stopped = n.relay(ctx, successor, exitDue)
 		n.handedOver.Store(false)
 		if stopped {
 			return nil
@@ -275,14 +275,13 @@
 }
 
 // serveAsOwner serves while this process owns the node: until the process may exit, in which case successor is
-// nil, or until a successor owns the node. unreported are the outcomes of calls that ended while the node was
-// handed over and that the successor, now gone, did not receive. exitDue is closed when the process has to
-// exit.
-func (n *Node) serveAsOwner(processCtx context.Context, ownership handover.Ownership, unreported []callResult, exitDue <-chan struct{}) (successor *handover.Link, err error) {
+// nil, or until a successor owns the node. outcomes are those of calls that ended while the node was handed over
+// to a successor that is now gone. exitDue is closed when the process has to exit.
+func (n *Node) serveAsOwner(processCtx context.Context, ownership handover.Ownership, outcomes []callResult, exitDue <-chan struct{}) (successor *handover.Link, err error) {
 	// A successor holds the lock through its own descriptor.
 	defer func() { err = errors.Join(err, ownership.Lock.Close()) }()
 	n.ownershipLock = ownership.Lock
-	events, err := n.loadState(processCtx, ownership, unreported)
+	events, err := n.loadState(processCtx, ownership, outcomes)
 	if err != nil {
 		if ownership.Predecessor != nil {
 			ownership.Predecessor.Close()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"harrierramp/internal/admin"
@@ -11,10 +12,10 @@
 )
 
 // relay works for a successor that owns the node: client connections move to it, outcomes of calls are reported
-// to it, and operators' commands are forwarded. relay returns when the successor has gone, with the outcomes
-// that it did not receive, or with stopped set when this process may exit. exitDue is closed when the process
-// has to exit.
-func (n *Node) relay(ctx context.Context, l *handover.Link, exitDue <-chan struct{}) (unreported []callResult, stopped bool) {
+// to it, and operators' commands are forwarded. relay returns when the successor has gone, with the outcomes of
+// all calls that were in flight at the hand-over, or with stopped set when this process may exit. exitDue is
+// closed when the process has to exit.
+func (n *Node) relay(ctx context.Context, l *handover.Link, exitDue <-chan struct{}) (outcomes []callResult, stopped bool) {
 	linkClosed := make(chan struct{})
 	results := make(chan handover.CommandResult)
 	cancels := make(chan handover.Attempt)
@@ -47,6 +48,8 @@
 			}
 		}
 	}()
+	// The sender of this process does not know the reported outcomes, and the successor may end before it acts on them.
+	var reported, unreported []callResult
 	forwarded := map[int]operatorCommand{}
 	lastNumber := 0
 	tick := time.NewTicker(handover.LockRetryInterval)
@@ -64,6 +67,7 @@
 				}}, -1) != nil {
 					unreported = append(unreported, e)
 				} else {
+					reported = append(reported, e)
 					delete(n.inFlight, e.attemptID)
 				}
 			case operatorCommand:
@@ -94,7 +98,7 @@
 			for _, o := range forwarded {
 				o.done <- admin.ErrNotServing
 			}
-			return append(unreported, n.cancelCalls(unreported)...), ctx.Err() != nil
+			return slices.Concat(reported, unreported, n.cancelCalls(unreported)), ctx.Err() != nil
 		case <-exitDue: // calls that are still in flight have had their time
 			for _, o := range n.inFlight {
 				o.cancel()
