Play bytes behind answers with a system that holds them back, at a real node

Its endpoint asked for TCP_NODELAY, as sockets of Go do, so it met the fault by luck only.

Bounds are unchanged.

--- a/cmd/harrierramp/answers_test.go
+++ b/cmd/harrierramp/answers_test.go
@@ -27,8 +27,9 @@
 	playStrangers(t, buildProgram(t), strangers{limit: usualLimits, interval: quickInterval, mayRefuse: true, endpoint: newVerboseEndpoint})
 }
 
-// newVerboseEndpoint starts an endpoint that sends more than belongs to most of its good responses, and answers a quarter
-// of the calls with an error.
+// newVerboseEndpoint starts an endpoint that sends more than belongs to most of its good responses, while nothing else
+// waits on the connection, and answers a quarter of the calls with an error. On half of its connections the system holds
+// small writes back.
 func newVerboseEndpoint(t *testing.T, l *faultLedger) string {
 	var mu sync.Mutex
 	rng := rand.New(rand.NewPCG(answersTestRNG, 0))
@@ -40,6 +41,11 @@
 	return testkit.NewPartner(t, func(nc net.Conn, req *http.Request) bool {
 		id := req.Header.Get("X-Trace-Id")
 		l.recordCall(id, true)
+		if nc.RemoteAddr().(*net.TCPAddr).Port%2 == 0 {
+			if err := nc.(*net.TCPConn).SetNoDelay(false); err != nil {
+				return false
+			}
+		}
 		kind := draw(4)
 		if kind == 0 {
 			_, err := io.WriteString(nc, errorResponse)
@@ -56,6 +62,9 @@
 		}
 		l.recordDelivery(id)
 		time.Sleep(time.Duration(draw(int(maxExtraDelay))))
+		if !testkit.IsQuiet(nc) {
+			return true
+		}
 		_, err := io.WriteString(nc, extra)
 		return err == nil
 	}).Addr()
--- a/internal/testkit/heldback.go
+++ b/internal/testkit/heldback.go
@@ -56,7 +56,7 @@
 	if _, err := io.WriteString(nc, h.Good); err != nil {
 		return false
 	}
-	if !isQuiet(nc) {
+	if !IsQuiet(nc) {
 		return true
 	}
 	h.mu.Lock()
@@ -66,8 +66,8 @@
 	return err == nil
 }
 
-// isQuiet reports whether nothing waits on a connection, neither bytes nor an end.
-func isQuiet(nc net.Conn) (quiet bool) {
+// IsQuiet reports whether nothing waits on a connection, neither bytes nor an end.
+func IsQuiet(nc net.Conn) (quiet bool) {
 	raw, err := nc.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return false
