Encode the state of an upgrade field by field without package json

Change: the fields stand in ordered lists, numbers and truth values are written and read directly, other types as before. The stored form is the same JSON, with the same names, so builds before and after read each other's; fields in another order, layout, or unknown are read as before (TestRestoreReadsOtherLayouts). An infinite figure is still an error that names its field.

--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -15,96 +15,74 @@
 
 var errInvalidSnapshot = errors.New("choice: inconsistent snapshot")
 
-// fieldLister is a struct that lists the fields that are part of a snapshot: their stored names, which must not
-// change, and pointers to them.
-type fieldLister interface{ fields() map[string]any }
-
-func (g *gate) fields() map[string]any {
-	return map[string]any{"average": &g.average, "baseline": &g.baseline, "at": &g.sampledAt, "seen": &g.sampled, "shut": &g.shut}
+// field is a field of a struct that is part of a snapshot: its stored name, which must not change, and a pointer to it.
+type field struct {
+	name  string
+	value any
 }
 
-func (r *route) fields() map[string]any {
-	return map[string]any{
-		"waitUntil": &r.waitUntil, "limit": &r.reportedLimit, "reported": &r.limitReported, "left": &r.limitLeft, "weight": &r.weight,
-		"part": &r.limitShare, "partAt": &r.limitShareUpdatedAt, "tokens": &r.tokens, "tokensAt": &r.refilledAt, "fails": &r.failures,
-		"failedAt": &r.firstFailureAt, "rest": &r.refusalBackoff, "sick": &r.circuitOpen, "harmless": &r.failureRanNothing, "trialAt": &r.nextTrialAt,
-		"backoff": &r.trialBackoff, "trial": &r.trialInFlight, "coldFrom": &r.recoveryStartedAt, "struckAt": &r.outageStartedAt, "demand": &r.demandSinceOutage,
-		"busiest": &r.peakRate, "passed": &r.windowSuccesses, "passedAt": &r.windowStartedAt, "cutAt": &r.lastCutAt,
-	}
-}
+// fieldLister is a struct that lists its fields that are part of a snapshot.
+type fieldLister interface{ fields() []field }
 
-func (d *destination) fields() map[string]any {
-	return map[string]any{
-		"kind": &d.kind, "used": &d.slotUse, "usedAt": &d.slotUseUpdatedAt, "lastTrial": &d.lastGateTrialAt, "came": &d.recentArrivals, "cameAt": &d.recentArrivalsUpdatedAt,
-	}
+func (g *gate) fields() []field {
+	return []field{{"average", &g.average}, {"baseline", &g.baseline}, {"at", &g.sampledAt}, {"seen", &g.sampled}, {"shut", &g.shut}}
 }
 
-func (e *endpoint) fields() map[string]any {
-	return map[string]any{
-		"id": &e.id, "zone": &e.zone, "ready": &e.ready, "listed": &e.listed, "disabled": &e.disabled,
-		"response": &e.penalizedLatency, "usual": &e.smoothedLatency, "sentAt": &e.lastSentAt, "gap": &e.sendInterval, "shunRest": &e.ejectionTime, "shunUntil": &e.ejectedUntil,
+func (r *route) fields() []field {
+	return []field{
+		{"waitUntil", &r.waitUntil}, {"limit", &r.reportedLimit}, {"reported", &r.limitReported}, {"left", &r.limitLeft}, {"weight", &r.weight},
+		{"part", &r.limitShare}, {"partAt", &r.limitShareUpdatedAt}, {"tokens", &r.tokens}, {"tokensAt", &r.refilledAt}, {"fails", &r.failures},
+		{"failedAt", &r.firstFailureAt}, {"rest", &r.refusalBackoff}, {"sick", &r.circuitOpen}, {"harmless", &r.failureRanNothing}, {"trialAt", &r.nextTrialAt},
+		{"backoff", &r.trialBackoff}, {"trial", &r.trialInFlight}, {"coldFrom", &r.recoveryStartedAt}, {"struckAt", &r.outageStartedAt}, {"demand", &r.demandSinceOutage},
+		{"busiest", &r.peakRate}, {"passed", &r.windowSuccesses}, {"passedAt", &r.windowStartedAt}, {"cutAt", &r.lastCutAt},
 	}
 }
 
-func (m *message) fields() map[string]any {
-	return map[string]any{
-		"id": &m.id, "key": &m.key, "worth": &m.worth, "arrived": &m.arrivedAt, "born": &m.handedInAt, "aim": &m.aim,
-		"dropDead": &m.deadline, "attempts": &m.attempts, "out": &m.inFlight, "mayRun": &m.firstRunSentAt, "touched": &m.mayHaveRun,
-		"zone": &m.runZone, "notBefore": &m.retryAt, "over": &m.ended, "found": &m.resumed,
+func (d *destination) fields() []field {
+	return []field{
+		{"kind", &d.kind}, {"used", &d.slotUse}, {"usedAt", &d.slotUseUpdatedAt}, {"lastTrial", &d.lastGateTrialAt}, {"came", &d.recentArrivals}, {"cameAt", &d.recentArrivalsUpdatedAt},
 	}
 }
 
-func (c *call) fields() map[string]any {
-	return map[string]any{
-		"sentAt": &c.sentAt, "left": &c.unfinished, "trial": &c.trial, "called": &c.cancelRequested, "repeatable": &c.repeatable,
+func (e *endpoint) fields() []field {
+	return []field{
+		{"id", &e.id}, {"zone", &e.zone}, {"ready", &e.ready}, {"listed", &e.listed}, {"disabled", &e.disabled},
+		{"response", &e.penalizedLatency}, {"usual", &e.smoothedLatency}, {"sentAt", &e.lastSentAt}, {"gap", &e.sendInterval}, {"shunRest", &e.ejectionTime}, {"shunUntil", &e.ejectedUntil},
 	}
 }
 
-func (t *tenant) fields() map[string]any {
-	return map[string]any{"tokens": &t.tokens, "at": &t.refilledAt}
+func (m *message) fields() []field {
+	return []field{
+		{"id", &m.id}, {"key", &m.key}, {"worth", &m.worth}, {"arrived", &m.arrivedAt}, {"born", &m.handedInAt}, {"aim", &m.aim},
+		{"dropDead", &m.deadline}, {"attempts", &m.attempts}, {"out", &m.inFlight}, {"mayRun", &m.firstRunSentAt}, {"touched", &m.mayHaveRun},
+		{"zone", &m.runZone}, {"notBefore", &m.retryAt}, {"over", &m.ended}, {"found", &m.resumed},
+	}
 }
 
-// fields lists the fields of the Sender itself. Structs that it points to have their own place in the snapshot.
-func (s *Sender) fields() map[string]any {
-	return map[string]any{
-		"now": &s.now, "rests": &s.keyBlockedUntil, "crowded": &s.connTableFullUntil, "tables": &s.connTables, "busy": &s.callsInFlight, "wakeAt": &s.nextWakeAt, "asking": &s.listRetryBackoff,
-		"askAt": &s.listRequestAt, "out": &s.disabledEndpoints, "failing": &s.failureRate,
+func (c *call) fields() []field {
+	return []field{
+		{"sentAt", &c.sentAt}, {"left", &c.unfinished}, {"trial", &c.trial}, {"called", &c.cancelRequested}, {"repeatable", &c.repeatable},
 	}
 }
 
-// rawFields holds the stored fields of a struct by name.
-type rawFields map[string]json.RawMessage
-
-// marshalFields encodes the fields of a struct. It sets firstErr unless that has an error already.
-func marshalFields(f fieldLister, firstErr *error) rawFields {
-	p := rawFields{}
-	for name, field := range f.fields() {
-		raw, err := json.Marshal(field)
-		if err != nil && *firstErr == nil {
-			*firstErr = fmt.Errorf("choice: encode snapshot field %s: %w", name, err)
-		}
-		p[name] = raw
-	}
-	return p
+func (t *tenant) fields() []field {
+	return []field{{"tokens", &t.tokens}, {"at", &t.refilledAt}}
 }
 
-// unmarshal sets the fields of a struct. It sets firstErr unless that has an error already.
-func (p rawFields) unmarshal(f fieldLister, firstErr *error) {
-	for name, field := range f.fields() {
-		if raw, ok := p[name]; ok {
-			if err := json.Unmarshal(raw, field); err != nil && *firstErr == nil {
-				*firstErr = fmt.Errorf("choice: decode snapshot field %s: %w", name, err)
-			}
-		}
+// fields lists the fields of the Sender itself. Structs that it points to have their own place in the snapshot.
+func (s *Sender) fields() []field {
+	return []field{
+		{"now", &s.now}, {"rests", &s.keyBlockedUntil}, {"crowded", &s.connTableFullUntil}, {"tables", &s.connTables}, {"busy", &s.callsInFlight}, {"wakeAt", &s.nextWakeAt}, {"asking", &s.listRetryBackoff},
+		{"askAt", &s.listRequestAt}, {"out", &s.disabledEndpoints}, {"failing", &s.failureRate},
 	}
 }
 
 // These types are the stored form of a snapshot. Messages and destinations are identified by their index in its lists.
 type (
 	snapshot struct {
-		Sender   rawFields
+		Sender   storedFields
 		Random   []byte
-		Tenants  []rawFields
+		Tenants  []storedFields
 		Dests    []snapshotDest
 		Messages []snapshotMessage
 		Open     []int
@@ -113,26 +91,26 @@
 	}
 	snapshotDest struct {
 		ID        int
-		Fields    rawFields
-		Gate      rawFields
-		Route     rawFields
+		Fields    storedFields
+		Gate      storedFields
+		Route     storedFields
 		Endpoints []snapshotEndpoint
 		Waiting   []int
 		Calls     []snapshotCall
 	}
 	snapshotEndpoint struct {
-		Fields  rawFields
-		Route   rawFields // nil if the endpoint shares the route of its destination
-		Current bool      // the endpoint that its ID refers to at present
+		Fields  storedFields
+		Route   storedFields // null if the endpoint shares the route of its destination
+		Current bool         // the endpoint that its ID refers to at present
 	}
 	snapshotMessage struct {
-		Fields rawFields
+		Fields storedFields
 		Class  int // index in Settings.Classes; -1 for a class that is not configured
 		Dest   int
 		Held   bool // it has no final answer yet
 	}
 	snapshotCall struct {
-		Fields   rawFields
+		Fields   storedFields
 		Endpoint int // index among the endpoints of the destination
 		Sends    []snapshotSend
 	}
@@ -231,24 +209,24 @@
 	}
 	s := New(cfg, seed)
 	var firstErr error
-	c.Sender.unmarshal(s, &firstErr)
+	unmarshalFields(c.Sender, s, &firstErr)
 	if err := s.rngSource.UnmarshalBinary(c.Random); err != nil {
 		return nil, fmt.Errorf("choice: decode random source: %w", err)
 	}
 	for i := range min(len(c.Tenants), len(s.tenants)) {
-		c.Tenants[i].unmarshal(&s.tenants[i], &firstErr)
+		unmarshalFields(c.Tenants[i], &s.tenants[i], &firstErr)
 	}
 	for _, cd := range c.Dests {
 		d := s.destination(cd.ID)
-		cd.Fields.unmarshal(d, &firstErr)
-		cd.Gate.unmarshal(&d.gate, &firstErr)
-		cd.Route.unmarshal(d.sharedRoute, &firstErr)
+		unmarshalFields(cd.Fields, d, &firstErr)
+		unmarshalFields(cd.Gate, &d.gate, &firstErr)
+		unmarshalFields(cd.Route, d.sharedRoute, &firstErr)
 		for _, ce := range cd.Endpoints {
 			e := &endpoint{dest: d, route: d.sharedRoute}
-			ce.Fields.unmarshal(e, &firstErr)
-			if ce.Route != nil {
+			unmarshalFields(ce.Fields, e, &firstErr)
+			if isObject(ce.Route) {
 				e.route = newRoute()
-				ce.Route.unmarshal(e.route, &firstErr)
+				unmarshalFields(ce.Route, e.route, &firstErr)
 			}
 			d.endpoints = append(d.endpoints, e)
 			if ce.Current {
@@ -268,7 +246,7 @@
 		if cm.Class >= 0 && cm.Class < len(s.cfg.Classes) {
 			m.class = &s.cfg.Classes[cm.Class]
 		}
-		cm.Fields.unmarshal(m, &firstErr)
+		unmarshalFields(cm.Fields, m, &firstErr)
 		messages = append(messages, m)
 		if cm.Held {
 			s.messages[m.id] = m
@@ -295,7 +273,7 @@
 				return nil, errInvalidSnapshot
 			}
 			k := &call{endpoint: d.endpoints[ck.Endpoint]}
-			ck.Fields.unmarshal(k, &firstErr)
+			unmarshalFields(ck.Fields, k, &firstErr)
 			for _, cs := range ck.Sends {
 				a := attempt{cs.ID, cs.N}
 				k.attempts = append(k.attempts, a)
