Give connections and responses of calls files of their own

internal/egress/pool.go had grown to 600 lines with four jobs: the pool, a connection with its request, the reading of responses, and their classification. The three others stand in conn.go and response.go now, with their constants; the code is moved, not changed. In internal/ingress the count of unusable commands and the time as a number stood two and four times, and refuse ended a turn that write ends.

Tests of both packages pass with -race.

--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -3,17 +3,11 @@
 package egress
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,31 +15,17 @@
 
 	"harrierramp/choice"
 	"harrierramp/internal/connreuse"
-	"harrierramp/internal/nonblock"
 	"harrierramp/internal/transient"
 )
 
 // The Transport of net/http is not used for calls, because it treats a request with an Idempotency-Key as replayable
 // and resends it by itself when a reused connection breaks, may dial for a call that an idle connection then serves,
-// and does not report how much of a request was written. This package writes a request once, on one connection, with
-// one Write.
+// does not report how much of a request was written, and does not check whose response a reused connection brings. This
+// package writes a request once, on one connection.
 
 const (
-	maxResponseHeaderBytes    = 16 << 10 // also of trailers and the framing of a chunked body
-	maxResponseBodyBytes      = 64 << 10
-	idleTimeoutMargin         = 400 * time.Millisecond // the endpoint's idle timer starts a transit time earlier
-	loadHeader                = "Endpoint-Load-Metrics"
-	maxInformationalResponses = 8 // 1xx responses before the final one
-	maxRetryAfter             = 10 * time.Minute
-	// Endpoints write a response in one piece of at most 64 KiB, so after its first byte a usable link delivers the
-	// rest within responseRestTimeout. What follows a status line with 200 carries no information beyond whether the
-	// connection can be reused, so the slot is held no longer than a slow round trip to receive it.
-	responseRestTimeout  = time.Second
-	localRetryTimeout    = 250 * time.Millisecond // for a local shortage of sockets, addresses or routes to pass
-	deliveredRestTimeout = 250 * time.Millisecond
-	// settleTime is how long a connection rests after an answer, so that an endpoint's program has time to write what it
-	// sends straight after it, such as a second copy. When that arrives is another matter: see connreuse.
-	settleTime = 5 * time.Millisecond
+	idleTimeoutMargin = 400 * time.Millisecond // the endpoint's idle timer starts a transit time earlier
+	localRetryTimeout = 250 * time.Millisecond // for a local shortage of sockets, addresses or routes to pass
 )
 
 // Call is one delivery attempt to be made.
@@ -58,10 +38,6 @@
 	DecisionBasis string    // value of DecisionBasisHeader; no header if empty
 }
 
-// DecisionBasisHeader is the request header that names the basis of the decision to make the call: the revision of the
-// endpoint list and the incarnation of the node's process, separated by a dot.
-const DecisionBasisHeader = "X-Rests-On"
-
 // Result is the outcome of a call.
 type Result struct {
 	Outcome      choice.Outcome
@@ -90,33 +66,6 @@
 	idleCount int
 }
 
-// conn is a connection to an endpoint.
-type conn struct {
-	net.Conn
-	addr        string
-	received    *countingReader // from the connection
-	limitReader *io.LimitedReader
-	br          *bufio.Reader
-	watchDone   chan error // receives the read error that ended the idle watch
-	release     func()     // releases the connection slot; idempotent
-	answeredAt  time.Time  // when its last answer was read; zero if it has had none
-	begunBytes  int        // of the next request, written ahead of the rest
-	begunAt     time.Time  // when they were written
-}
-
-// countingReader counts the bytes read.
-type countingReader struct {
-	src   io.Reader
-	bytes uint64
-}
-
-// Read is part of io.Reader.
-func (r *countingReader) Read(p []byte) (int, error) {
-	n, err := r.src.Read(p)
-	r.bytes += uint64(n)
-	return n, err
-}
-
 // NewPool returns a pool that holds at most maxConns connections, which leaves the other descriptors of the process to
 // other uses. Connections originate from the address source, or from one that the system chooses if source is nil.
 func NewPool(source net.Addr, dialTimeout, connIdle time.Duration, maxIdle, maxConns int, requestsWritten *atomic.Int64) *Pool {
@@ -249,35 +198,6 @@
 	}
 }
 
-// requestPrefix returns the first lines of every request to an endpoint, which do not depend on the call.
-func requestPrefix(e *Endpoint) []byte {
-	return []byte("POST /v1/messages HTTP/1.1\r\nHost: " + e.Addr + "\r\n")
-}
-
-// encodeRequest returns the request of a call. It starts with requestPrefix.
-func encodeRequest(c Call) ([]byte, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+c.Endpoint.Addr+"/v1/messages", bytes.NewReader(c.Body))
-	if err != nil {
-		return nil, err
-	}
-	req.Header = http.Header{
-		"X-Trace-Id":   {c.ID},
-		"X-Expires-In": {strconv.FormatInt(max(time.Until(c.Deadline).Milliseconds(), 1), 10) + "m"},
-		"User-Agent":   {"harrierramp"},
-	}
-	if c.Key != "" {
-		req.Header["Idempotency-Key"] = []string{c.Key}
-	}
-	if c.DecisionBasis != "" {
-		req.Header[DecisionBasisHeader] = []string{c.DecisionBasis}
-	}
-	var b bytes.Buffer
-	if err := req.Write(&b); err != nil {
-		return nil, err
-	}
-	return b.Bytes(), nil
-}
-
 // acquireSlot acquires a slot for a new connection. If none is free, it closes an idle connection, and then waits for
 // the next slot to be released.
 func (p *Pool) acquireSlot(ctx context.Context) bool {
@@ -302,11 +222,6 @@
 	}
 }
 
-func (k *conn) Close() error {
-	k.release()
-	return k.Conn.Close()
-}
-
 // dial opens a connection in a slot that the caller has acquired, and releases the slot on failure.
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	var nc net.Conn
@@ -322,149 +237,6 @@
 	return newConn(nc, addr, release), nil
 }
 
-func newConn(nc net.Conn, addr string, release func()) *conn {
-	received := &countingReader{src: transient.Reader(nc)}
-	l := &io.LimitedReader{R: received}
-	return &conn{Conn: nc, addr: addr, received: received, limitReader: l, br: bufio.NewReaderSize(l, 4096), release: release}
-}
-
-// roundTrip writes the request, or what is left of it, and reads the response. It increments requestsWritten once the request is written
-// completely. reuse reports whether the connection can be used for another call.
-func (k *conn) roundTrip(ctx context.Context, request []byte, requestsWritten *atomic.Int64) (res Result, reuse bool) {
-	writeStart := time.Now()
-	if k.begunBytes > 0 {
-		writeStart = k.begunAt
-	}
-	if n, err := transient.Write(k, request); err != nil && n < len(request) {
-		return Result{Outcome: choice.ConnectFailed}, false // endpoints do not execute an incomplete request
-	}
-	writeEnd := time.Now()
-	requestsWritten.Add(1)
-	res, reuse, err := k.readResponse()
-	switch res.ResponseRead = err == nil; {
-	case res.ResponseRead:
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		res.Outcome = choice.TimedOut
-	case ctx.Err() != nil:
-		res.Outcome = choice.Cancelled
-	default:
-		res.Outcome = choice.ConnReset
-	}
-	res.WriteStart, res.WriteEnd = writeStart, writeEnd
-	return res, reuse
-}
-
-// readResponse reads one response and reports whether the connection can be used for another call. A response that
-// cannot be read to its end proves nothing, except that a status line with 200 counts as delivered. Once a response has
-// started, it must end within responseRestTimeout or deliveredRestTimeout.
-func (k *conn) readResponse() (Result, bool, error) {
-	for range maxInformationalResponses {
-		k.limitReader.N = maxResponseHeaderBytes
-		delivered := false
-		if k.awaitFirstByte() {
-			if delivered = k.peekStatusOK(); delivered {
-				k.setReadTimeout(deliveredRestTimeout)
-			}
-		}
-		resp, err := http.ReadResponse(k.br, nil)
-		k.limitReader.N = maxResponseBodyBytes + maxResponseHeaderBytes
-		if err == nil && resp.StatusCode < 200 {
-			if err = k.SetReadDeadline(time.Time{}); err == nil {
-				continue // the final response has no time limit until it starts
-			}
-		}
-		if err == nil {
-			var n int64
-			n, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBodyBytes+1))
-			resp.Body.Close()
-			if err == nil && n > maxResponseBodyBytes {
-				err = errors.New("response body exceeds 64 KiB")
-			}
-		}
-		switch {
-		case err == nil: // bytes after the response belong to no call: do not reuse the connection
-			return classifyResponse(resp), !resp.Close && k.br.Buffered() == 0, nil
-		case delivered:
-			return Result{Outcome: choice.Success, MessageDone: true}, false, nil
-		}
-		return Result{}, false, fmt.Errorf("read response: %w", err)
-	}
-	return Result{}, false, errors.New("read response: too many informational responses")
-}
-
-// awaitFirstByte waits for the first byte of a response, and limits the time for the rest. It returns false on a read
-// error.
-func (k *conn) awaitFirstByte() bool {
-	_, err := k.br.Peek(1)
-	if err == nil {
-		k.setReadTimeout(responseRestTimeout)
-	}
-	return err == nil
-}
-
-// setReadTimeout makes reads fail after d. Its error is ignored: it means that the connection is closed, so that reads
-// fail anyway.
-func (k *conn) setReadTimeout(d time.Duration) { k.SetReadDeadline(time.Now().Add(d)) }
-
-// peekStatusOK reports whether the response starts with a status line with 200, without consuming it. It waits for no
-// more bytes than it needs, since nothing may follow that line.
-func (k *conn) peekStatusOK() bool {
-	const want = "HTTP/1.? 200"
-	for n := 1; n <= len(want); n++ {
-		line, err := k.br.Peek(n)
-		if err != nil || (line[n-1] != want[n-1] && want[n-1] != '?') {
-			return false
-		}
-	}
-	line, err := k.br.Peek(len(want) + 1)
-	return err != nil || bytes.IndexByte([]byte(" \r\n"), line[len(want)]) >= 0
-}
-
-// classifyResponse maps the status codes of the delivery protocol to outcomes.
-func classifyResponse(resp *http.Response) Result {
-	res := Result{Report: parseLoadReport(resp.Header.Get(loadHeader))}
-	switch resp.StatusCode {
-	case http.StatusOK:
-		res.Outcome, res.MessageDone = choice.Success, true
-	case http.StatusTooManyRequests:
-		res.Outcome = choice.Rejected
-		if sec, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && sec > 0 {
-			res.RetryAfter = time.Duration(min(sec, maxRetryAfter.Seconds()) * float64(time.Second))
-		}
-	case http.StatusServiceUnavailable:
-		res.Outcome = choice.Rejected
-		if resp.Header.Get("X-Line-Busy") == "1" {
-			res.Outcome, res.NoSlot = choice.NotSent, true
-		}
-	case http.StatusGatewayTimeout:
-		res.Outcome = choice.NotSent
-	case http.StatusGone:
-		res.Outcome, res.MessageDone = choice.NotSent, true
-	default: // 500 and unknown codes: the call may have been executed
-		res.Outcome = choice.ServerError
-	}
-	return res
-}
-
-// parseLoadReport parses a load report such as "x0=0.4,x1=25" and ignores malformed fields.
-func parseLoadReport(text string) choice.LimitReport {
-	var r choice.LimitReport
-	for field := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || v != v {
-			continue
-		}
-		switch name {
-		case "x0":
-			r.Left, r.HasLeft = v, true
-		case "x1":
-			r.Limit, r.HasLimit = v, true
-		}
-	}
-	return r
-}
-
 // takeIdle removes and returns the most recently used idle connection that has settled and is still usable. If none has
 // settled, it waits for the one that settles first. It returns nil if there is no idle connection.
 func (p *Pool) takeIdle(ctx context.Context, e *Endpoint) *conn {
@@ -511,36 +283,6 @@
 	return k
 }
 
-// untilSettled returns how long the connection still has to rest.
-func (k *conn) untilSettled(now time.Time) time.Duration { return settleTime - now.Sub(k.answeredAt) }
-
-// awaitSettled waits until a connection that was removed from the idle ones has settled. It returns false if the idle
-// watch sees an end or a byte meanwhile, or if ctx ends; the connection is of no use then.
-func (k *conn) awaitSettled(ctx context.Context) bool {
-	wait := k.untilSettled(time.Now())
-	if wait <= 0 {
-		return true
-	}
-	settled := time.NewTimer(wait)
-	defer settled.Stop()
-	select {
-	case <-settled.C:
-		return true
-	case <-k.watchDone:
-		return false
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// isQuiet reports whether an idle connection is unchanged since its last call: no input has arrived, and it is not
-// closed.
-func (k *conn) isQuiet() bool {
-	var b [1]byte
-	_, err := nonblock.Read(k.Conn, b[:])
-	return errors.Is(err, nonblock.ErrWouldBlock)
-}
-
 // removeIdle removes the i-th idle connection of an endpoint. The caller holds p.mu.
 func (p *Pool) removeIdle(id string, i int) {
 	p.idleCount--
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -172,7 +172,7 @@
 
 // readCommand reads a command. Meanwhile the connection may be evicted if its peer stalls.
 func (c *clientConn) readCommand() ([][]byte, error) {
-	c.input.lastInput.Store(int64(time.Since(clockOrigin)))
+	c.input.lastInput.Store(monotonicNow())
 	c.server.setReading(c.nc, c.input)
 	defer c.server.setReading(c.nc, nil)
 	commands := commandReader{r: c.r, reserve: c.reserveMemory}
@@ -185,7 +185,7 @@
 	defer c.turn.Begin()
 	c.input.lastInput.Store(math.MaxInt64) // while it waits, it is not the peer that has stalled
 	err := c.server.memory.acquire(int64(bytes), c.hadUsable)
-	c.input.lastInput.Store(int64(time.Since(clockOrigin)))
+	c.input.lastInput.Store(monotonicNow())
 	if err != nil {
 		return err
 	}
@@ -208,7 +208,6 @@
 // refuse ends the connection in the middle of a request. Nothing was done about the request, so it is refused.
 func (c *clientConn) refuse() (closeReason, error) {
 	c.releaseMemory() // others wait for it
-	c.turn.End()
 	if err := c.write(Answer{Refused: true}.line()); err != nil {
 		return closeWriteFailed, err
 	}
@@ -240,14 +239,24 @@
 // answered by an error.
 func (c *clientConn) serveEmptyCommand() (closeReason, error) {
 	c.requestStart = time.Time{}
-	c.server.metrics.UnusableCommands.Add(1)
-	if c.unusable++; c.unusable < maxUnusableCommands {
+	reason := c.countUnusable()
+	if reason == keepServing {
 		return keepServing, nil
 	}
 	if err := c.write(Answer{ErrorText: "no command"}.line()); err != nil {
 		return closeWriteFailed, err
 	}
-	return closeUnusable, nil
+	return reason, nil
+}
+
+// countUnusable counts a command that was no request, and returns the reason to close the connection if there were too
+// many in a row.
+func (c *clientConn) countUnusable() closeReason {
+	c.server.metrics.UnusableCommands.Add(1)
+	if c.unusable++; c.unusable < maxUnusableCommands {
+		return keepServing
+	}
+	return closeUnusable
 }
 
 // finishCommand writes the answer to a command. usable says whether the command was a request, or a PING.
@@ -263,11 +272,7 @@
 		c.unusable = 0
 		return keepServing, nil
 	}
-	c.server.metrics.UnusableCommands.Add(1)
-	if c.unusable++; c.unusable < maxUnusableCommands {
-		return keepServing, nil
-	}
-	return closeUnusable, nil
+	return c.countUnusable(), nil
 }
 
 // handleCommand executes one command and returns the line to answer, and whether the command was a request or a PING.
@@ -328,6 +333,9 @@
 // clockOrigin is the origin of the times that are stored as a number.
 var clockOrigin = time.Now()
 
+// monotonicNow returns the time in nanoseconds since clockOrigin.
+func monotonicNow() int64 { return int64(time.Since(clockOrigin)) }
+
 // connReader reads from a connection. Each read ends the connection's turn, and begins one when it has got bytes.
 type connReader struct {
 	nc        net.Conn
@@ -353,7 +361,7 @@
 	t.turn.End()
 	n, err = t.src.Read(p)
 	if n > 0 {
-		t.lastInput.Store(int64(time.Since(clockOrigin)))
+		t.lastInput.Store(monotonicNow())
 		t.turn.Charge(readCallCost + time.Duration(n)*readByteCost)
 		t.turn.Begin()
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -350,7 +350,7 @@
 func (s *Server) evictStalled(count int, holdsMemory bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	newest := int64(time.Since(clockOrigin) - stallTimeout)
+	newest := monotonicNow() - int64(stallTimeout)
 	var stalled []net.Conn
 	for nc, p := range s.conns {
 		if p.reading != nil && !p.evicted && (p.holdsMemory || !holdsMemory) && p.reading.lastInput.Load() <= newest {
